--- /dev/null
+++ b/include/cedarplank/dispatcher.hpp
@@ -0,0 +1,221 @@
+// cedarplank: the decisions of a dispatcher of notifications to outside receivers.
+//
+// A relay feeds one Dispatcher the events it sees and carries out the actions that come back, one
+// handle() a round. The dispatcher never blocks, does no input or output, reads no clock and keeps
+// no state outside the instance: equal settings, seed and events give equal actions.
+//
+// All times and durations are in microseconds. Names (zones, kinds, classes, tenants) do not appear:
+// events carry positions in the lists of the settings.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cedarplank {
+
+using Time = std::int64_t;
+using MessageId = std::uint64_t;
+using EndpointId = std::string;
+using DestinationId = std::int64_t;
+
+enum class Effect { safe, keyed, unsafe };       // what a repeat may do
+enum class KeyGroup { all, zone, cell };         // which endpoints of a destination drop repeats
+enum class Decay { line, halves };               // how worth falls after the aim
+enum class WeightKind { none, nominal, rough };  // what Endpoint::weight holds
+
+struct ClassSettings {
+  double worth = 1;           // full worth of a message
+  double late_worth = 0;      // share of it that is left at the deadline
+  Time aim = 1'000'000;       // delivered within this time, it earns the full worth
+  Time deadline = 5'000'000;  // how long it may be delivered at all
+  Effect effect = Effect::safe;
+  KeyGroup group = KeyGroup::all;
+  Time key_window = 0;   // keyed: how long a destination remembers the key
+  bool ordered = false;  // messages with the same order key go one at a time
+};
+
+struct KindSettings {         // a kind of destination
+  bool routes_apart = false;  // each endpoint has its own limit, pace and outages
+  int bundle_max = 1;         // messages in one call at most
+};
+
+struct TenantSettings {
+  double quota_per_s = 0;  // messages a second within the share, over all relays
+};
+
+struct Settings {
+  std::vector<ClassSettings> classes;
+  std::vector<KindSettings> kinds;
+  std::vector<TenantSettings> tenants;  // may be empty
+  std::vector<double> zone_fees;        // price of a route apart, by zone; may be empty
+  Decay decay = Decay::line;
+  WeightKind weights = WeightKind::none;
+  double over_share_worth = 1;  // worth beyond a tenant's share, as a fraction
+  int relays = 1;               // how many relays share the destinations
+  int rank = 0;                 // which of them this is
+  int zone = 0;                 // where this relay stands
+  int slots = 1;                // calls out at once
+  int open_max = 1;             // messages held at once
+  int attempts_max = 1;         // attempts for one message
+  bool second_copies = false;   // two attempts of a message may be out together
+  bool cancelling = false;
+  bool probes = false;
+  bool peers = false;
+  bool subscribe = false;  // list changes come only to those that subscribed
+  Time tick = 1'000;       // least time between rounds
+  Time connect_timeout = 1'000'000;
+  Time connection_idle = 10'000'000;  // idle connections close by themselves after this
+  Time retry_after_max = 0;           // longest advised absence that a client obeys
+  Time answer_slack = 0;              // final answers are accepted so long past the deadline
+  Time drain_grace = 0;
+  Time must_ask_in = 0;           // 0: no such rule
+  Time settle_after_doubt = 0;    // rest of an order key after an attempt in doubt
+  double fall_multiple = 2;       // times present capacity that topples a cold destination
+  Time overload_for = 1'000'000;  // when kept up for so long
+  double cold_from = 0.2;         // share of capacity right after an outage
+  Time cold = 10'000'000;         // warm after this at the latest
+};
+
+// Throws std::invalid_argument naming the setting that makes no sense.
+void validate(const Settings& settings);
+
+enum class Outcome { served, error, full, timeout, connect_failed, reset, cancelled, not_sent };
+
+// Load report of a destination; a negative value was not reported.
+struct Report {
+  double limit_left = -1;  // share of the limit that is left
+  double limit_rate = -1;  // calls a second that the limit allows; 0 where there is none
+};
+
+enum class Listing { active, draining, gone };
+
+struct Endpoint {
+  EndpointId id;
+  DestinationId destination = 0;
+  int zone = 0;
+  int kind = 0;
+  Listing listing = Listing::active;
+  double weight = 1;
+  Time since = 0;  // when it was added; 0: long ago
+};
+
+namespace event {
+struct ListWhole {
+  std::vector<Endpoint> endpoints;
+  bool cached = false;
+};  // cached: as last seen
+struct ListChanges {
+  std::vector<Endpoint> endpoints;
+};
+struct ListFailed {};
+struct Arrival {
+  MessageId id = 0;
+  DestinationId destination = 0;
+  int message_class = 0;
+  int tenant = -1;  // -1: none
+  Time time_left = 0;
+  std::string order_key;  // empty: none
+  bool repeat = false;    // the client hands it in again
+};
+struct AttemptEnded {
+  MessageId id = 0;
+  int attempt = 0;
+  EndpointId endpoint;
+  Outcome outcome = Outcome::served;
+  Time latency = 0;
+  bool closed = false;  // the message is over
+  Time told_wait = 0;   // with full: nothing to that destination for so long
+  Report report;
+};
+struct Withdrawn {
+  MessageId id = 0;
+};
+struct TimerDue {
+  std::uint64_t token = 0;
+};
+struct ProbeEnded {
+  EndpointId endpoint;
+  Outcome outcome = Outcome::served;
+  Time latency = 0;
+  Report report;
+};
+struct PeerNote {
+  int from = 0;
+  std::string body;
+};
+}  // namespace event
+
+using Event =
+    std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::AttemptEnded,
+                 event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote>;
+
+namespace action {
+// Attempts of a message count from 0 in the order of their sends.
+struct Send {
+  MessageId id = 0;
+  EndpointId endpoint;
+  Time timeout = 0;
+};
+struct Refuse {
+  MessageId id = 0;
+  Time come_back = 0;
+};  // final; handing it in again is harmless
+struct Fail {
+  MessageId id = 0;
+};  // final; promises nothing
+struct Cancel {
+  MessageId id = 0;
+  int attempt = 0;
+};
+struct CloseIdle {
+  EndpointId endpoint;
+};
+struct SetTimer {
+  Time after = 0;
+  std::uint64_t token = 0;
+};
+struct FetchList {};
+struct Subscribe {
+  bool on = true;
+};
+struct Probe {
+  EndpointId endpoint;
+};
+struct TellPeer {
+  int whom = -1;
+  std::string body;
+};  // -1: every peer
+struct Log {
+  std::string text;
+};
+}  // namespace action
+
+using Action = std::variant<action::Send, action::Refuse, action::Fail, action::Cancel, action::CloseIdle,
+                            action::SetTimer, action::FetchList, action::Subscribe, action::Probe,
+                            action::TellPeer, action::Log>;
+
+class Dispatcher {
+ public:
+  // Throws std::invalid_argument where the settings make no sense.
+  Dispatcher(const Settings& settings, std::uint64_t seed);
+  ~Dispatcher();
+  Dispatcher(Dispatcher&&) noexcept;
+  Dispatcher& operator=(Dispatcher&&) noexcept;
+
+  // One round: all events happen at `now` (which never goes back); the actions take effect at `now`,
+  // in order. `actions` is appended to.
+  void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
+
+  // How many endpoints, destinations, messages, order keys and calls are kept: a gauge of memory.
+  std::size_t kept() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace cedarplank
--- /dev/null
+++ b/tests/harness.hpp
@@ -0,0 +1,155 @@
+// Scripted events against the module: fixed seeds, no wall clock, no bench.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+
+namespace cedarplank::testing {
+
+constexpr Time kMs = 1'000, kS = 1'000'000;
+
+inline Settings plain() {
+  Settings s;
+  s.classes = {{.worth = 1, .late_worth = 0, .aim = 1 * kS, .deadline = 6 * kS, .effect = Effect::safe},
+               {.worth = 3, .late_worth = 0.3, .aim = 2 * kS, .deadline = 20 * kS, .effect = Effect::unsafe},
+               {.worth = 1,
+                .late_worth = 0.3,
+                .aim = 2 * kS,
+                .deadline = 20 * kS,
+                .effect = Effect::keyed,
+                .key_window = 5 * kS}};
+  s.kinds = {{}};
+  s.slots = 16;
+  s.open_max = 200;
+  s.attempts_max = 8;
+  s.tick = 5 * kMs;
+  s.answer_slack = 20 * kMs;
+  s.overload_for = 2 * kS;
+  return s;
+}
+
+enum Class { kSafe, kUnsafe, kKeyed };
+
+struct Sent {
+  MessageId id;
+  int attempt;
+  EndpointId endpoint;
+  Time at, timeout;
+};
+
+// Drives one dispatcher: keeps the clock, counts attempts, fires timers, collects what was done.
+class Relay {
+ public:
+  explicit Relay(const Settings& s = plain(), std::uint64_t seed = 1) : dispatcher_(s, seed) {}
+
+  void round(std::vector<Event> events) {
+    std::vector<Action> actions;
+    dispatcher_.handle(now, events, actions);
+    for (const auto& a : actions) {
+      if (const auto* x = std::get_if<action::Send>(&a)) {
+        const Sent one{x->id, attempts_[x->id]++, x->endpoint, now, x->timeout};
+        sent.push_back(one);
+        out.push_back(one);
+      } else if (const auto* r = std::get_if<action::Refuse>(&a)) {
+        refused[r->id] = now;
+      } else if (const auto* f = std::get_if<action::Fail>(&a)) {
+        failed[f->id] = now;
+      } else if (const auto* t = std::get_if<action::SetTimer>(&a)) {
+        timers_.push_back(now + t->after);
+      } else if (const auto* c = std::get_if<action::Cancel>(&a)) {
+        cancelled[c->id] = now;
+      } else if (const auto* n = std::get_if<action::TellPeer>(&a)) {
+        notes.emplace_back(now, n->body);
+      } else if (const auto* i = std::get_if<action::CloseIdle>(&a)) {
+        idle_closed[i->endpoint].push_back(now);
+      } else if (std::holds_alternative<action::Subscribe>(a)) {
+        asked.push_back(now);
+      }
+    }
+  }
+  // Fires the timers due up to `until`, then stands there.
+  void run_to(Time until) {
+    while (true) {
+      auto it = std::min_element(timers_.begin(), timers_.end());
+      if (it == timers_.end() || *it > until) break;
+      now = std::max(now, *it);
+      timers_.erase(it);
+      round({event::TimerDue{0}});
+    }
+    now = until;
+  }
+  void list(const std::vector<Endpoint>& endpoints) { round({event::ListWhole{endpoints, false}}); }
+  void change(const Endpoint& e) { round({event::ListChanges{{e}}}); }
+  MessageId arrive(Class c, DestinationId destination = 1, std::string key = "", Time left = 0) {
+    event::Arrival a;
+    a.id = ++last_id_;
+    a.destination = destination;
+    a.message_class = c;
+    a.time_left = left > 0 ? left : plain().classes[c].deadline;
+    a.order_key = std::move(key);
+    round({a});
+    return a.id;
+  }
+  // Ends the oldest attempt of the message that is out.
+  void end(MessageId id, Outcome outcome, Time told_wait = 0) { round({ending(id, outcome, told_wait)}); }
+  Event ending(MessageId id, Outcome outcome, Time told_wait = 0) {
+    auto it = std::find_if(out.begin(), out.end(), [&](const Sent& s) { return s.id == id; });
+    EXPECT_NE(it, out.end()) << "message " << id << " has nothing out";
+    event::AttemptEnded e;
+    e.id = id;
+    e.attempt = it->attempt;
+    e.endpoint = it->endpoint;
+    e.outcome = outcome;
+    e.latency = now - it->at;
+    e.closed = outcome == Outcome::served;
+    e.told_wait = told_wait;
+    out.erase(it);
+    return e;
+  }
+  // Lives through `span` in steps of 50 ms; `decide` ends what is out for 100 ms or more, arrivals come at
+  // `rate`.
+  template <class Decide>
+  void live(Time span, double rate, Class c, DestinationId destination, Decide decide) {
+    const Time until = now + span;
+    double due = 0;
+    while (now < until) {
+      run_to(now + 50 * kMs);
+      for (const auto& s : std::vector<Sent>(out))
+        if (now - s.at >= 100 * kMs)
+          if (const auto outcome = decide(s)) end(s.id, *outcome);
+      for (due += rate * 0.05; due >= 1; due -= 1) arrive(c, destination);
+    }
+  }
+  std::size_t kept() const { return dispatcher_.kept(); }
+  int sends_of(MessageId id) const {
+    return static_cast<int>(
+        std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
+  }
+  int sends_between(Time from, Time to, const EndpointId& e = "") const {
+    return static_cast<int>(std::count_if(sent.begin(), sent.end(), [&](const Sent& s) {
+      return s.at >= from && s.at < to && (e.empty() || s.endpoint == e);
+    }));
+  }
+
+  Time now = 1 * kS;
+  std::vector<Sent> sent, out;
+  std::map<MessageId, Time> refused, failed, cancelled;
+  std::vector<Time> asked;
+  std::map<EndpointId, std::vector<Time>> idle_closed;
+  std::vector<std::pair<Time, std::string>> notes;
+
+ private:
+  Dispatcher dispatcher_;
+  std::map<MessageId, int> attempts_;
+  std::vector<Time> timers_;
+  MessageId last_id_ = 0;
+};
+
+}  // namespace cedarplank::testing
