--- a/adapter/codec.hpp
+++ b/adapter/codec.hpp
@@ -4,20 +4,14 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include "cedarplank/dispatcher.hpp"
+#include "fields.hpp"
 
 namespace cedarplank::adapter {
 
-// What is wrong with a line, and where in it.
-class WireError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 class Codec {
  public:
   Codec();
--- /dev/null
+++ b/adapter/settings.cpp
@@ -0,0 +1,120 @@
+#include "settings.hpp"
+
+#include <algorithm>
+
+namespace cedarplank::adapter {
+namespace {
+
+Names names_of(const Value& object, const char* name, const std::string& path) {
+  Names names;
+  const Value* list = find(object, name);
+  if (list == nullptr) return names;
+  for (const auto& v : as_array(*list, path + "." + name).GetArray())
+    names.emplace(as_text(v, path + "." + name), static_cast<int>(names.size()));
+  return names;
+}
+ClassSettings read_class(const Value& v, const std::string& path) {
+  ClassSettings c;
+  c.worth = get(v, "Points", path, as_number);
+  c.late_worth = get(v, "LateWorth", path, as_number, 0.0);
+  c.aim = get(v, "Target", path, as_integer);
+  c.deadline = get(v, "Deadline", path, as_integer);
+  c.effect = word<Effect>(
+      get(v, "Idempotency", path, as_text),
+      {{"read_like", Effect::safe}, {"idempotency_key", Effect::keyed}, {"non_idempotent", Effect::unsafe}},
+      path + ".Idempotency");
+  c.group = word<KeyGroup>(get(v, "Group", path, as_text, "all"),
+                           {{"all", KeyGroup::all}, {"zone", KeyGroup::zone}, {"cell", KeyGroup::cell}},
+                           path + ".Group");
+  c.key_window = get(v, "Window", path, as_integer, 0);
+  c.ordered = get(v, "FifoByKey", path, as_bool, false);
+  return c;
+}
+
+// A list with one value for each kind, or nothing.
+const Value* per_kind(const Value& family, const char* name, const std::string& path) {
+  const Value* v = find(family, name);
+  return v == nullptr ? nullptr : &as_array(*v, path + "." + name);
+}
+
+}  // namespace
+
+int position(const Names& names, const std::string& name) {
+  const auto it = names.find(name);
+  return it == names.end() ? -1 : it->second;
+}
+
+Settings read_settings(const Value& v, const std::string& path, Tables& tables) {
+  as_object(v, path);
+  Settings s;
+  for (const auto& c : as_array(need(v, "Classes", path), path + ".Classes").GetArray()) {
+    as_object(c, path + ".Classes");
+    tables.classes.emplace(get(c, "Name", path + ".Classes", as_text), static_cast<int>(s.classes.size()));
+    s.classes.push_back(read_class(c, path + ".Classes"));
+  }
+  if (const Value* tenants = find(v, "Tenants")) {
+    for (const auto& t : as_array(*tenants, path + ".Tenants").GetArray()) {
+      as_object(t, path + ".Tenants");
+      tables.tenants.emplace(get(t, "Name", path + ".Tenants", as_text), static_cast<int>(s.tenants.size()));
+      s.tenants.push_back({get(t, "QuotaPerS", path + ".Tenants", as_number, 0.0)});
+    }
+  }
+  tables.zones = names_of(v, "FailureDomains", path);
+  tables.kinds = names_of(v, "HostTypes", path);
+  s.kinds.resize(std::max<std::size_t>(1, tables.kinds.size()));
+
+  const std::string family_path = path + ".FamilyInfo";
+  const Value& family = as_object(need(v, "FamilyInfo", path), family_path);
+  const Value* apart = per_kind(family, "RoutesApart", family_path);
+  const Value* bundle = per_kind(family, "BundleMax", family_path);
+  for (rapidjson::SizeType i = 0; i < s.kinds.size(); i++) {
+    if (apart != nullptr && i < apart->Size())
+      s.kinds[i].routes_apart = as_bool((*apart)[i], family_path + ".RoutesApart");
+    if (bundle != nullptr && i < bundle->Size())
+      s.kinds[i].bundle_max = as_int((*bundle)[i], family_path + ".BundleMax");
+  }
+  s.slots = get(family, "Workers", family_path, as_int);
+  s.decay = word<Decay>(get(family, "Decay", family_path, as_text, "line"),
+                        {{"line", Decay::line}, {"halves", Decay::halves}}, family_path + ".Decay");
+  if (const Value* toll = per_kind(family, "Toll", family_path))
+    for (const auto& fee : toll->GetArray()) s.zone_fees.push_back(as_number(fee, family_path + ".Toll"));
+
+  const std::string limits_path = path + ".Limits";
+  const Value& limits = as_object(need(v, "Limits", path), limits_path);
+  s.open_max = get(limits, "OpenCap", limits_path, as_int);
+  s.attempts_max = get(limits, "MaxAttempts", limits_path, as_int);
+  s.second_copies = get(limits, "SecondCopies", limits_path, as_bool, false);
+  s.cancelling = get(limits, "Cancelling", limits_path, as_bool, false);
+  s.probes = get(limits, "Probes", limits_path, as_bool, false);
+  s.peers = get(limits, "Peers", limits_path, as_bool, false);
+  s.connect_timeout = get(limits, "ConnectTimeout", limits_path, as_integer, s.connect_timeout);
+  s.connection_idle = get(limits, "ConnIdle", limits_path, as_integer, s.connection_idle);
+  s.retry_after_max = get(limits, "MaxRetryAfter", limits_path, as_integer, 0);
+
+  const std::string rules_path = path + ".Rules";
+  const Value& rules = as_object(need(v, "Rules", path), rules_path);
+  s.answer_slack = get(rules, "AnswerSlack", rules_path, as_integer, 0);
+  s.drain_grace = get(rules, "DrainGrace", rules_path, as_integer, 0);
+  s.must_ask_in = get(rules, "MustAskIn", rules_path, as_integer, 0);
+  s.settle_after_doubt = get(rules, "SettleAfterDoubt", rules_path, as_integer, 0);
+  s.fall_multiple = get(rules, "FallMultiple", rules_path, as_number, s.fall_multiple);
+  s.overload_for = get(rules, "OverloadFor", rules_path, as_integer, s.overload_for);
+  s.cold_from = get(rules, "ColdFrom", rules_path, as_number, s.cold_from);
+  s.cold = get(rules, "Cold", rules_path, as_integer, s.cold);
+
+  s.over_share_worth = get(v, "OverShareWorth", path, as_number, 1.0);
+  s.relays = get(v, "GroupSize", path, as_int, 1);
+  s.rank = get(v, "Rank", path, as_int, 0);
+  s.zone = position(tables.zones, get(v, "Locality", path, as_text, ""));
+  s.tick = get(v, "Tick", path, as_integer, s.tick);
+  s.subscribe = get(v, "Discovery", path, as_text, "automatic") == "subscribe";
+  s.weights = word<WeightKind>(get(v, "WeightKind", path, as_text, "none"),
+                               {{"none", WeightKind::none},
+                                {"nominal", WeightKind::nominal},
+                                {"rough", WeightKind::rough},
+                                {"live", WeightKind::none}},
+                               path + ".WeightKind");
+  return s;
+}
+
+}  // namespace cedarplank::adapter
--- /dev/null
+++ b/adapter/settings.hpp
@@ -0,0 +1,25 @@
+// The settings that an instance is given, as the wire and a real relay's configuration write them.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "cedarplank/dispatcher.hpp"
+#include "fields.hpp"
+
+namespace cedarplank::adapter {
+
+using Names = std::unordered_map<std::string, int>;
+
+// Where each name stands in the lists of the settings.
+struct Tables {
+  Names classes, tenants, zones, kinds;
+};
+
+// The position of a name, -1 where it is unknown.
+int position(const Names& names, const std::string& name);
+
+// Throws WireError, naming the field, on what can't be read.
+Settings read_settings(const Value& v, const std::string& path, Tables& tables);
+
+}  // namespace cedarplank::adapter
--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -121,6 +122,14 @@
   std::string order_key;  // empty: none
   bool repeat = false;    // the client hands it in again
 };
+// A message that this relay had taken on in an earlier life, with what is known of its attempts.
+struct Recovered {
+  Arrival message;   // time_left may be below 0
+  int attempts = 0;  // made so far; further ones count on from there
+  // Where one of them may have run (also one whose outcome was never seen): the first such, and how long ago.
+  std::optional<int> may_have_run_zone;
+  Time may_have_run_ago = 0;
+};
 struct AttemptEnded {
   MessageId id = 0;
   int attempt = 0;
@@ -128,7 +137,7 @@
   Outcome outcome = Outcome::served;
   Time latency = 0;
   bool closed = false;  // the message is over
-  Time told_wait = 0;   // with full: nothing to that destination for so long
+  Time told_wait = 0;   // nothing to that destination for so long, whatever the outcome
   Report report;
 };
 struct Withdrawn {
@@ -150,8 +159,8 @@
 }  // namespace event
 
 using Event =
-    std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::AttemptEnded,
-                 event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote>;
+    std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::Recovered,
+                 event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote>;
 
 namespace action {
 // Attempts of a message count from 0 in the order of their sends.
--- /dev/null
+++ b/relay/calls.hpp
@@ -0,0 +1,91 @@
+// Calls to endpoints: connections, bundles, outcomes.
+//
+// A connection carries one call at a time; kept ones are used freshest first and closed before the endpoint
+// would. Each message in a call has its own time-out; the call ends with the last of them.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+#include "clock.hpp"
+
+namespace heronvane {
+
+using cedarplank::EndpointId;
+using cedarplank::MessageId;
+using cedarplank::Outcome;
+
+struct Outgoing {
+  MessageId id = 0;
+  int attempt = 0;
+  Time timeout = 0;
+  std::string wire_id, body;
+};
+
+struct CallLimits {
+  std::size_t slots = 1;  // calls out at once
+  Time connect_timeout = 0;
+  Time idle = 0;             // endpoints close connections that were idle for so long
+  std::size_t kept_most = 0;  // idle connections to all endpoints
+  bool reports = false;      // answers may hold load reports
+};
+
+class Calls {
+ public:
+  using Ended = std::function<void(const cedarplank::event::AttemptEnded&)>;
+
+  Calls(boost::asio::io_context& io, const CallLimits& limits, Ended ended);
+  ~Calls();
+
+  // Where an endpoint is found; kept connections to another address are closed.
+  void locate(const EndpointId& endpoint, const boost::asio::ip::tcp::endpoint& address);
+  // One call; `ended` hears of each message once, never from inside send().
+  void send(const EndpointId& endpoint, std::vector<Outgoing> messages);
+  void cancel(MessageId id, int attempt);
+  void close_idle(const EndpointId& endpoint);
+  // Ends, as not sent, the calls to an endpoint of which no byte has gone out.
+  void hold_back(const EndpointId& endpoint);
+
+  std::size_t out() const { return out_.size(); }
+  std::size_t opened() const { return opened_; }
+
+ private:
+  struct Connection;
+  struct Call;
+  struct Place {
+    boost::asio::ip::tcp::endpoint address;
+    std::vector<std::shared_ptr<Connection>> idle;  // freshest last
+  };
+
+  void begin(const std::shared_ptr<Call>& call);
+  void connect(const std::shared_ptr<Call>& call);
+  void write(const std::shared_ptr<Call>& call);
+  void read(const std::shared_ptr<Call>& call);
+  void answered(const std::shared_ptr<Call>& call);
+  void answered_bundle(const std::shared_ptr<Call>& call);
+  void arm(const std::shared_ptr<Call>& call);
+  void end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed = false);
+  void end_all(const std::shared_ptr<Call>& call, Outcome outcome, bool closed = false);
+  void keep(const std::shared_ptr<Call>& call);
+  void watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint);
+  void drop(const EndpointId& endpoint, const Connection* connection);
+  void sweep();
+
+  boost::asio::io_context& io_;
+  CallLimits limits_;
+  Ended ended_;
+  boost::asio::steady_timer sweep_timer_;
+  std::map<EndpointId, Place> places_;
+  std::set<std::shared_ptr<Call>> out_;
+  std::size_t kept_ = 0, opened_ = 0;
+};
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/config.cpp
@@ -0,0 +1,85 @@
+#include "config.hpp"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+namespace heronvane {
+
+using namespace cedarplank::adapter;
+
+namespace {
+
+boost::asio::ip::udp::endpoint udp(const std::string& text, const std::string& path) {
+  const auto address = read_address(text, path);
+  return {address.address(), address.port()};
+}
+
+std::string environment(const char* name) {
+  const char* value = std::getenv(name);
+  if (value == nullptr || *value == '\0') throw std::runtime_error(std::string(name) + ": not set");
+  return value;
+}
+
+std::uint64_t whole_above_zero(const Value& v, const std::string& path) {
+  const double number = as_number(v, path);
+  if (!(number > 0 && number < 1e9)) malformed(path, "must be above 0");
+  return static_cast<std::uint64_t>(number * 1e6);
+}
+
+}  // namespace
+
+Config read_config(const std::string& json) {
+  rapidjson::Document v;
+  v.Parse(json.data(), json.size());
+  if (v.HasParseError())
+    malformed("config", (std::string(rapidjson::GetParseError_En(v.GetParseError())) + " at byte " +
+                         std::to_string(v.GetErrorOffset()))
+                            .c_str());
+  const std::string path = "config";
+  as_object(v, path);
+  Config c;
+  c.name = get(v, "name", path, as_text);
+  c.listen = read_address(get(v, "listen", path, as_text), path + ".listen");
+  c.discovery = read_address(get(v, "discovery", path, as_text), path + ".discovery");
+  const std::string seed = get(v, "seed", path, as_text);
+  const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
+  if (error != std::errc() || end != seed.data() + seed.size())
+    malformed(path + ".seed", "must be 64 bits in hexadecimal");
+  const Value& limits = as_object(need(v, "limits", path), path + ".limits");
+  const int sockets = get(limits, "sockets", path + ".limits", as_int);
+  if (sockets < 64) malformed(path + ".limits.sockets", "must be 64 or more");
+  c.sockets = static_cast<std::size_t>(sockets);
+  // Taken as 10^6 bytes, the smaller of the two readings of a megabyte.
+  c.disk_bytes = get(limits, "disk_mb", path + ".limits", whole_above_zero);
+  if (const Value* p = find(v, "peer_listen"))
+    c.peer_listen = udp(as_text(*p, path + ".peer_listen"), path + ".peer_listen");
+  if (const Value* p = find(v, "peers_all"))
+    c.peers_all = udp(as_text(*p, path + ".peers_all"), path + ".peers_all");
+  if (const Value* peers = find(v, "peers"))
+    for (const auto& p : as_array(*peers, path + ".peers").GetArray())
+      c.peers.push_back(udp(as_text(p, path + ".peers"), path + ".peers"));
+  const Value& settings = need(v, "settings", path);
+  c.settings = read_settings(settings, path + ".settings", c.names);
+  cedarplank::validate(c.settings);
+  if (const Value* report = find(settings, "Report"))
+    c.reports_in_answers = get(*report, "How", path + ".settings.Report", as_text, "none") == "answers";
+  if (const Value* known = find(v, "known")) c.known = read_members(*known, path + ".known", c.names);
+  return c;
+}
+
+Config load_config() {
+  const std::string file = environment("LB_CONFIG");
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw std::runtime_error("LB_CONFIG: can't read " + file);
+  Config c = read_config({std::istreambuf_iterator<char>(in), {}});
+  c.state_folder = environment("LB_STATE");
+  return c;
+}
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/config.hpp
@@ -0,0 +1,36 @@
+// What the relay is told at its start: the file that LB_CONFIG names, as typed settings.
+#pragma once
+
+#include <boost/asio/ip/udp.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+#include "members.hpp"
+#include "settings.hpp"
+
+namespace heronvane {
+
+struct Config {
+  std::string name;
+  boost::asio::ip::tcp::endpoint listen, discovery;
+  std::string state_folder;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 0;      // file descriptors that the process may hold
+  std::uint64_t disk_bytes = 0;  // that the state folder may hold
+  std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
+  std::vector<boost::asio::ip::udp::endpoint> peers;  // by rank
+  cedarplank::Settings settings;
+  cedarplank::adapter::Tables names;
+  bool reports_in_answers = false;
+  MemberList known;
+};
+
+// Throws std::exception whose text names the field that can't be read.
+Config read_config(const std::string& json);
+
+// The file that LB_CONFIG names, with LB_STATE for the folder that lasts.
+Config load_config();
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/members.hpp
@@ -0,0 +1,31 @@
+// The list of endpoints in discovery's form, as the configuration and the platform give it.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+#include "settings.hpp"
+
+namespace heronvane {
+
+struct Member {
+  cedarplank::Endpoint endpoint;
+  boost::asio::ip::tcp::endpoint address;
+};
+
+struct MemberList {
+  std::int64_t index = 0;
+  bool snapshot = false;  // the whole list, else what changed
+  std::vector<Member> members;
+};
+
+// Throws WireError, naming the field, on what can't be read.
+MemberList read_members(const cedarplank::adapter::Value& v, const std::string& path,
+                        const cedarplank::adapter::Tables& names);
+
+// "127.0.0.1:8081"; throws WireError naming `path`.
+boost::asio::ip::tcp::endpoint read_address(const std::string& text, const std::string& path);
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/platform.cpp
@@ -0,0 +1,253 @@
+#include "platform.hpp"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+#include "log.hpp"
+
+namespace heronvane {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using tcp = net::ip::tcp;
+
+namespace {
+
+// An empty line comes every 2 s: a watch without one for so long is dead, though its connection stands.
+constexpr auto kSilent = std::chrono::seconds(6);
+constexpr std::size_t kMostList = 4 << 20;  // bytes of a list
+constexpr auto kPostTime = std::chrono::seconds(1);
+constexpr auto kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::milliseconds(1000);
+constexpr std::size_t kMostLines = 64;  // notices in one request
+
+}  // namespace
+
+struct Platform::Query {
+  Query(net::io_context& io, bool f) : follow(f), socket(io), timer(io) {
+    parser.body_limit(boost::none);
+  }
+  bool follow, over = false;
+  tcp::socket socket;
+  net::steady_timer timer;
+  beast::flat_buffer buffer{kMostList};
+  http::request<http::empty_body> request;
+  http::response_parser<http::string_body> parser;
+  std::string text;  // of a line that is not whole yet
+};
+
+struct Platform::Post {
+  explicit Post(net::io_context& io) : timer(io) {}
+  std::shared_ptr<tcp::socket> socket;
+  net::steady_timer timer;
+  std::vector<MessageId> ids;
+  bool fresh = false, over = false;
+  beast::flat_buffer buffer{64 * 1024};
+  http::request<http::string_body> request;
+  http::response<http::string_body> response;
+};
+
+Platform::Platform(net::io_context& io, const tcp::endpoint& address, const cedarplank::adapter::Tables& names,
+                   std::int64_t index, Listed listed, Failed failed, Noticed noticed)
+    : io_(io),
+      address_(address),
+      names_(names),
+      index_(index),
+      listed_(std::move(listed)),
+      failed_(std::move(failed)),
+      noticed_(std::move(noticed)),
+      again_(io),
+      backoff_(kFirstBackoff) {}
+Platform::~Platform() = default;
+
+// ---- The list. ----
+void Platform::watch() { ask(true); }
+void Platform::fetch() { ask(false); }
+void Platform::unwatch() {
+  if (!watch_) return;
+  watch_->over = true;
+  error_code ignored;
+  watch_->socket.close(ignored);
+  watch_->timer.cancel();
+  watch_.reset();
+}
+
+void Platform::ask(bool follow) {
+  if (follow) unwatch();
+  if (!follow && fetch_) return;
+  const auto query = std::make_shared<Query>(io_, follow);
+  (follow ? watch_ : fetch_) = query;
+  guard(query);
+  query->socket.async_connect(address_, [this, query, follow](error_code bad) {
+    if (query->over) return;
+    if (bad) return end(query, bad.message());
+    query->request.method(http::verb::get);
+    query->request.version(11);
+    query->request.target(follow ? "/catalog/members?follow=1&since=" + std::to_string(index_)
+                                 : std::string("/catalog/members"));
+    query->request.set(http::field::host, "discovery.svc");
+    http::async_write(query->socket, query->request, [this, query](error_code failed, std::size_t) {
+      if (query->over) return;
+      if (failed) return end(query, failed.message());
+      read(query);
+    });
+  });
+}
+
+void Platform::guard(const std::shared_ptr<Query>& query) {
+  query->timer.expires_after(kSilent);
+  query->timer.async_wait([this, query](error_code bad) {
+    if (!bad && !query->over) end(query, "silent for too long");
+  });
+}
+
+void Platform::read(const std::shared_ptr<Query>& query) {
+  http::async_read_some(query->socket, query->buffer, query->parser, [this, query](error_code bad, std::size_t) {
+    if (query->over) return;
+    if (bad) return end(query, bad.message());
+    if (query->parser.is_header_done()) {
+      if (query->parser.get().result() != http::status::ok)
+        return end(query, "answered " + std::to_string(query->parser.get().result_int()));
+      query->text += query->parser.get().body();
+      query->parser.get().body().clear();
+      if (query->follow && query->text.find('\n') != std::string::npos) guard(query);
+      if (query->text.size() > kMostList) return end(query, "a list too long");
+      if (query->follow && !lines(*query)) return end(query, "a line that can't be read");
+      if (query->over) return;
+    }
+    if (!query->parser.is_done()) return read(query);
+    if (query->follow) return end(query, "ended");
+    if (!line(query->text)) return end(query, "a list that can't be read");
+    query->over = true;
+    query->timer.cancel();
+    fetch_.reset();
+  });
+}
+
+// Takes the whole lines that have come.
+bool Platform::lines(Query& query) {
+  std::size_t at = 0;
+  for (std::size_t end; (end = query.text.find('\n', at)) != std::string::npos; at = end + 1) {
+    const std::string one = query.text.substr(at, end - at);
+    if (one.find_first_not_of(" \r\t") != std::string::npos && !line(one)) return false;
+    if (query.over) return true;
+  }
+  query.text.erase(0, at);
+  return true;
+}
+
+bool Platform::line(const std::string& text) {
+  rapidjson::Document v;
+  v.Parse(text.data(), text.size());
+  if (v.HasParseError()) return false;
+  try {
+    MemberList list = read_members(v, "members", names_);
+    index_ = list.index;
+    listed_(std::move(list));
+    return true;
+  } catch (const cedarplank::adapter::WireError& e) {
+    log(std::string("discovery: ") + e.what());
+    return false;
+  }
+}
+
+void Platform::end(const std::shared_ptr<Query>& query, const std::string& why) {
+  log(std::string("discovery: ") + (query->follow ? "watch: " : "list: ") + why);
+  query->over = true;
+  query->timer.cancel();
+  error_code ignored;
+  query->socket.close(ignored);
+  if (watch_ == query) watch_.reset();
+  if (fetch_ == query) fetch_.reset();
+  failed_();
+}
+
+// ---- Notices. ----
+void Platform::notice(MessageId id, const std::string& wire_id, const Ending& ending) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
+  w.StartObject();
+  w.Key("id"), w.String(wire_id.data(), static_cast<rapidjson::SizeType>(wire_id.size()));
+  w.Key("status"), w.String(ending.deferred ? "deferred" : "undeliverable");
+  if (ending.deferred && ending.again > 0) w.Key("again_ms"), w.Int64((ending.again + 999) / 1000);
+  w.EndObject();
+  owed_[id] = std::string(buffer.GetString(), buffer.GetSize()) + "\n";
+  if (!post_ && !waiting_) post();
+}
+
+void Platform::post() {
+  const auto post = post_ = std::make_shared<Post>(io_);
+  auto& request = post->request;
+  for (const auto& [id, text] : owed_) {
+    if (post->ids.size() >= kMostLines) break;
+    post->ids.push_back(id);
+    request.body() += text;
+  }
+  request.method(http::verb::post);
+  request.version(11);
+  request.target("/v2/finals");
+  request.set(http::field::host, "discovery.svc");
+  request.set(http::field::content_type, "application/x-ndjson");
+  request.prepare_payload();
+  post->timer.expires_after(kPostTime);
+  post->timer.async_wait([this, post](error_code bad) {
+    if (!bad && !post->over) posted(post, "no answer");
+  });
+  const auto talk = [this, post](error_code bad) {
+    if (post->over) return;
+    if (bad) return posted(post, bad.message());
+    http::async_write(*post->socket, post->request, [this, post](error_code unsent, std::size_t) {
+      if (post->over) return;
+      if (unsent) return posted(post, unsent.message());
+      http::async_read(*post->socket, post->buffer, post->response, [this, post](error_code failed, std::size_t) {
+        if (post->over) return;
+        if (failed) return posted(post, failed.message());
+        const auto status = post->response.result_int();
+        posted(post, status == 204 ? "" : "answered " + std::to_string(status));
+      });
+    });
+  };
+  if (kept_) {
+    post->socket = std::move(kept_);
+    kept_.reset();
+    return talk({});
+  }
+  post->fresh = true;
+  post->socket = std::make_shared<tcp::socket>(io_);
+  post->socket->async_connect(address_, talk);
+}
+
+void Platform::posted(const std::shared_ptr<Post>& post, const std::string& problem) {
+  post->over = true;
+  post->timer.cancel();
+  post_.reset();
+  if (problem.empty()) {
+    backoff_ = kFirstBackoff;
+    if (post->response.keep_alive()) kept_ = post->socket;
+    for (const MessageId id : post->ids) owed_.erase(id);
+    noticed_(post->ids);
+    if (!owed_.empty() && !post_) this->post();
+    return;
+  }
+  error_code ignored;
+  post->socket->close(ignored);
+  // A notice for a message that is over does no harm, so it goes again; at once where only a kept
+  // connection had ended.
+  if (!post->fresh) return this->post();
+  log("notices: " + problem);
+  waiting_ = true;
+  again_.expires_after(backoff_);
+  backoff_ = std::min(2 * backoff_, kMostBackoff);
+  again_.async_wait([this](error_code bad) {
+    waiting_ = false;
+    if (!bad && !owed_.empty() && !post_) this->post();
+  });
+}
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/platform.hpp
@@ -0,0 +1,65 @@
+// The platform: discovery's list and watch, and the notices that end messages which were not delivered.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "journal.hpp"
+#include "members.hpp"
+#include "settings.hpp"
+
+namespace heronvane {
+
+class Platform {
+ public:
+  using Listed = std::function<void(MemberList)>;
+  using Failed = std::function<void()>;
+  using Noticed = std::function<void(const std::vector<MessageId>&)>;
+
+  Platform(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+           const cedarplank::adapter::Tables& names, std::int64_t index, Listed listed, Failed failed,
+           Noticed noticed);
+  ~Platform();
+
+  void watch();    // changes from now on; `failed` tells its end
+  void unwatch();
+  void fetch();    // the whole list, once
+  // Sent until the platform has it; `noticed` tells when.
+  void notice(MessageId id, const std::string& wire_id, const Ending& ending);
+  bool notices_owed() const { return !owed_.empty(); }
+
+ private:
+  struct Query;
+  struct Post;
+  void ask(bool follow);
+  void read(const std::shared_ptr<Query>& query);
+  bool lines(Query& query);
+  bool line(const std::string& text);
+  void end(const std::shared_ptr<Query>& query, const std::string& why);
+  void guard(const std::shared_ptr<Query>& query);
+  void post();
+  void posted(const std::shared_ptr<Post>& post, const std::string& problem);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint address_;
+  const cedarplank::adapter::Tables& names_;
+  std::int64_t index_;
+  Listed listed_;
+  Failed failed_;
+  Noticed noticed_;
+  std::shared_ptr<Query> watch_, fetch_;
+  std::map<MessageId, std::string> owed_;  // notices, as lines
+  std::shared_ptr<Post> post_;             // the one under way
+  std::shared_ptr<boost::asio::ip::tcp::socket> kept_;
+  boost::asio::steady_timer again_;
+  bool waiting_ = false;
+  std::chrono::milliseconds backoff_;
+};
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/relay.cpp
@@ -0,0 +1,392 @@
+#include "relay.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <set>
+
+#include "log.hpp"
+
+namespace heronvane {
+
+namespace net = boost::asio;
+namespace event = cedarplank::event;
+namespace action = cedarplank::action;
+using boost::system::error_code;
+using cedarplank::Listing;
+
+namespace {
+
+// Shares of the descriptors: client connections, kept connections to endpoints. The rest is room to spare.
+constexpr std::size_t kClientPart = 2, kKeptPart = 4;
+constexpr auto kStallRetry = std::chrono::milliseconds(20);
+// After SIGTERM, whose SIGKILL comes no sooner than 3.7 s later: how long new connections may still come;
+// until when calls are begun; when the process ends, with calls out or not.
+constexpr Time kDrainAccept = 600'000, kDrainSend = 1'500'000, kDrainMost = 3'000'000;
+constexpr auto kDrainLook = std::chrono::milliseconds(20);
+
+std::chrono::microseconds span(Time t) { return std::chrono::microseconds(std::max<Time>(t, 0)); }
+
+CallLimits call_limits(const Config& c) {
+  CallLimits limits;
+  limits.slots = static_cast<std::size_t>(c.settings.slots);
+  limits.connect_timeout = c.settings.connect_timeout;
+  limits.idle = c.settings.connection_idle;
+  limits.kept_most = c.sockets / kKeptPart;
+  limits.reports = c.reports_in_answers;
+  return limits;
+}
+
+std::vector<cedarplank::Endpoint> endpoints_of(const MemberList& list) {
+  std::vector<cedarplank::Endpoint> endpoints;
+  for (const auto& m : list.members) endpoints.push_back(m.endpoint);
+  return endpoints;
+}
+
+}  // namespace
+
+Relay::Relay(net::io_context& io, const Config& config)
+    : io_(io),
+      config_(config),
+      journal_(config.state_folder, config.disk_bytes),
+      dispatcher_(config.settings, config.seed),
+      calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
+      platform_(
+          io, config.discovery, config.names, config.known.index,
+          [this](MemberList list) { listed(std::move(list)); }, [this] { happened(event::ListFailed{}); },
+          [this](const std::vector<MessageId>& ids) {
+            for (const MessageId id : ids) over(id);
+            settle();
+          }),
+      round_timer_(io),
+      module_timer_(io),
+      stall_timer_(io),
+      drain_timer_(io) {
+  const auto& s = config.settings;
+  if (s.peers && config.peer_listen)
+    peers_.emplace(io, *config.peer_listen, config.peers, config.peers_all, s.rank,
+                   [this](int from, std::string body) { happened(event::PeerNote{from, std::move(body)}); });
+  for (const auto& m : config.known.members) {
+    calls_.locate(m.endpoint.id, m.address);
+    endpoints_[m.endpoint.id] = m.endpoint;
+  }
+  events_.push_back(event::ListWhole{endpoints_of(config.known), true});
+  recover();
+  round();
+  intake_.emplace(
+      io, config.listen, config.names, config.sockets / kClientPart,
+      [this](Message m, Reply reply) { arrive(std::move(m), std::move(reply)); }, [this] { return ready(); });
+  log("listening as " + config.name);
+}
+
+// What was taken on in an earlier life is still owed its end.
+void Relay::recover() {
+  if (journal_.dropped_bytes() > 0)
+    log("journal: dropped " + std::to_string(journal_.dropped_bytes()) + " torn bytes at its end");
+  std::vector<MessageId> unknown;
+  for (const auto& [id, held] : journal_.held()) {
+    next_number_ = id + 1;
+    numbers_[held.message.id] = id;
+    if (held.ending) {
+      platform_.notice(id, held.message.id, *held.ending);
+      continue;
+    }
+    if (config_.names.classes.count(held.message.message_class) == 0) {
+      unknown.push_back(id);
+      continue;
+    }
+    event::Recovered r;
+    r.message = arrival(id, held.message);
+    r.attempts = static_cast<int>(held.attempts.size());
+    for (const auto& a : held.attempts) {
+      if (!a.may_have_run() || r.may_have_run_zone) continue;
+      r.may_have_run_zone = a.zone;
+      r.may_have_run_ago = std::max<Time>(wall_now() - a.sent, 0);
+    }
+    events_.push_back(std::move(r));
+  }
+  Plan plan;
+  for (const MessageId id : unknown) finish(plan, id, {});  // a class that the settings no longer have
+  stalled_.push_back(std::move(plan));
+  if (!journal_.held().empty()) log("recovered " + std::to_string(journal_.held().size()) + " messages");
+}
+
+event::Arrival Relay::arrival(MessageId id, const Message& m) const {
+  event::Arrival a;
+  a.id = id;
+  a.destination = m.destination;
+  a.message_class = config_.names.classes.at(m.message_class);
+  a.tenant = cedarplank::adapter::position(config_.names.tenants, m.tenant);
+  a.time_left = m.deadline - wall_now();
+  a.repeat = m.repeat;
+  return a;
+}
+
+bool Relay::ready() const {
+  const auto active = [](const auto& entry) { return entry.second.listing == Listing::active; };
+  return !stopping_ && stalled_.empty() && std::any_of(endpoints_.begin(), endpoints_.end(), active);
+}
+
+// ---- What comes in. ----
+void Relay::arrive(Message message, Reply reply) {
+  // Handed in once more on a new connection, since the answer was lost: it is ours already.
+  if (numbers_.count(message.id) > 0) return reply({202, 0});
+  std::size_t open = arrived_.size();
+  for (const auto& [id, held] : journal_.held()) open += !held.ending;
+  if (open >= static_cast<std::size_t>(config_.settings.open_max) || !stalled_.empty() ||
+      !journal_.room_for(message, arrived_cost_))
+    return reply({503, 0});
+  arrived_cost_ += Journal::cost(message);
+  arrived_.push_back({std::move(message), std::move(reply)});
+  schedule();
+}
+
+void Relay::ended(const event::AttemptEnded& e) {
+  if (e.closed)
+    over(e.id);
+  else if (journal_.held().count(e.id) > 0)
+    journal_.outcome(e.id, e.attempt, e.outcome);
+  settle();
+  happened(e);
+  // Guards against calls whose connections come up after the wait was told.
+  if (e.told_wait > 0) hold_back(e.endpoint);
+}
+
+void Relay::hold_back(const EndpointId& endpoint) {
+  const auto it = endpoints_.find(endpoint);
+  if (it == endpoints_.end()) return;
+  const auto kind = static_cast<std::size_t>(it->second.kind);
+  const bool apart = kind < config_.settings.kinds.size() && config_.settings.kinds[kind].routes_apart;
+  for (const auto& [id, e] : endpoints_)
+    if (id == endpoint || (!apart && e.destination == it->second.destination)) calls_.hold_back(id);
+}
+
+void Relay::listed(MemberList list) {
+  if (list.snapshot) {
+    std::set<EndpointId> named;
+    for (const auto& m : list.members) named.insert(m.endpoint.id);
+    for (auto& [id, e] : endpoints_)
+      if (named.count(id) == 0) e.listing = Listing::gone;
+  }
+  for (const auto& m : list.members) {
+    calls_.locate(m.endpoint.id, m.address);
+    endpoints_[m.endpoint.id] = m.endpoint;
+  }
+  for (const auto& [id, e] : endpoints_) {
+    if (e.listing == Listing::active) continue;
+    calls_.hold_back(id);
+    calls_.close_idle(id);
+  }
+  std::erase_if(endpoints_, [](const auto& entry) { return entry.second.listing == Listing::gone; });
+  if (list.snapshot)
+    happened(event::ListWhole{endpoints_of(list), false});
+  else
+    happened(event::ListChanges{endpoints_of(list)});
+}
+
+void Relay::happened(cedarplank::Event event) {
+  events_.push_back(std::move(event));
+  schedule();
+}
+
+void Relay::schedule() {
+  if (round_due_) return;
+  round_due_ = true;
+  round_timer_.expires_after(span(last_round_ + config_.settings.tick - steady_now()));
+  round_timer_.async_wait([this](error_code bad) {
+    if (!bad) round();
+  });
+}
+
+// ---- The round. ----
+void Relay::round() {
+  round_due_ = false;
+  last_round_ = steady_now();
+  Plan plan;
+  auto arrived = std::exchange(arrived_, {});
+  arrived_cost_ = 0;
+  for (auto& a : arrived) {
+    if (const auto twin = numbers_.find(a.message.id); twin != numbers_.end()) {
+      plan.answers.push_back({0, std::move(a.reply), {202, 0}});
+      continue;
+    }
+    const MessageId id = next_number_++;
+    numbers_[a.message.id] = id;
+    events_.push_back(arrival(id, a.message));
+    unanswered_[id] = std::move(a.reply);
+    journal_.take(id, std::move(a.message));
+  }
+  if (!frozen_) decide(plan);
+  for (auto& [id, reply] : unanswered_) plan.answers.push_back({id, std::move(reply), {202, 0}});
+  unanswered_.clear();
+  stalled_.push_back(std::move(plan));
+  settle();
+  if (journal_.wants_compaction()) compact();
+}
+
+void Relay::decide(Plan& plan) {
+  std::vector<cedarplank::Action> actions;
+  const auto events = std::exchange(events_, {});
+  dispatcher_.handle(last_round_, events, actions);
+  for (const auto& a : actions) {
+    if (const auto* x = std::get_if<action::Send>(&a))
+      send(plan, *x);
+    else if (const auto* r = std::get_if<action::Refuse>(&a))
+      finish(plan, r->id, {true, r->come_back});
+    else if (const auto* f = std::get_if<action::Fail>(&a))
+      finish(plan, f->id, {false, 0});
+    else if (const auto* c = std::get_if<action::Cancel>(&a))
+      calls_.cancel(c->id, c->attempt);
+    else if (const auto* i = std::get_if<action::CloseIdle>(&a))
+      calls_.close_idle(i->endpoint);
+    else if (const auto* t = std::get_if<action::SetTimer>(&a))
+      set_timer(t->after, t->token);
+    else if (std::holds_alternative<action::FetchList>(a))
+      platform_.fetch();
+    else if (const auto* s = std::get_if<action::Subscribe>(&a))
+      s->on ? platform_.watch() : platform_.unwatch();
+    else if (const auto* n = std::get_if<action::TellPeer>(&a))
+      peers_ ? peers_->tell(n->whom, n->body) : void();
+    else if (const auto* l = std::get_if<action::Log>(&a))
+      log(l->text);
+  }
+}
+
+void Relay::send(Plan& plan, const action::Send& a) {
+  const auto held = journal_.held().find(a.id);
+  const auto endpoint = endpoints_.find(a.endpoint);
+  if (held == journal_.held().end() || held->second.ending) return;
+  const auto& h = held->second;
+  const int zone = endpoint == endpoints_.end() ? -1 : endpoint->second.zone;
+  const auto kind = endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
+  const auto& kinds = config_.settings.kinds;
+  const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
+  Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body};
+  journal_.sent(a.id, wall_now(), zone);
+  // Sends of one round to one endpoint travel as one call, up to so many.
+  const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
+    return call.first == a.endpoint && call.second.size() < most;
+  });
+  if (open != plan.calls.end())
+    open->second.push_back(std::move(one));
+  else
+    plan.calls.emplace_back(a.endpoint, std::vector<Outgoing>{std::move(one)});
+}
+
+// An end that is not a delivery: told in the answer where the client still waits for it, else by a notice.
+void Relay::finish(Plan& plan, MessageId id, const Ending& ending) {
+  const auto held = journal_.held().find(id);
+  if (held == journal_.held().end() || held->second.ending) return;
+  if (const auto waiting = unanswered_.find(id); waiting != unanswered_.end()) {
+    plan.answers.push_back({0, std::move(waiting->second),
+                            ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
+    unanswered_.erase(waiting);
+    return over(id);
+  }
+  journal_.ending(id, ending);
+  plan.endings.push_back(id);
+}
+
+void Relay::over(MessageId id) {
+  const auto held = journal_.held().find(id);
+  if (held == journal_.held().end()) return;
+  numbers_.erase(held->second.message.id);
+  journal_.over(id);
+}
+
+// Writes the records, then does what waited for them.
+void Relay::settle() {
+  if (!journal_.commit()) {
+    if (stalled_.empty()) stalled_.emplace_back();  // nothing new is taken on until it is written
+    log("journal: can't be written now");
+    // Their clients wait only so long: what stands in no record was not taken on.
+    for (auto& plan : stalled_) {
+      for (auto& a : plan.answers) {
+        a.reply({503, 0});
+        if (a.id == 0) continue;
+        over(a.id);
+        happened(event::Withdrawn{a.id});
+      }
+      plan.answers.clear();
+    }
+    stall_timer_.expires_after(kStallRetry);
+    return stall_timer_.async_wait([this](error_code bad) {
+      if (!bad) settle();
+    });
+  }
+  for (auto& plan : std::exchange(stalled_, {})) carry_out(std::move(plan));
+}
+
+void Relay::carry_out(Plan plan) {
+  for (auto& a : plan.answers) a.reply(a.answer);
+  for (auto& [endpoint, messages] : plan.calls) {
+    std::erase_if(messages, [&](const Outgoing& m) {
+      if (journal_.held().count(m.id) > 0) return false;
+      // Withdrawn while its records could not be written.
+      event::AttemptEnded e;
+      e.id = m.id, e.attempt = m.attempt, e.endpoint = endpoint, e.outcome = Outcome::not_sent, e.closed = true;
+      happened(e);
+      return true;
+    });
+    if (!messages.empty()) calls_.send(endpoint, std::move(messages));
+  }
+  for (const MessageId id : plan.endings) {
+    const auto held = journal_.held().find(id);
+    if (held != journal_.held().end()) platform_.notice(id, held->second.message.id, *held->second.ending);
+  }
+}
+
+// ---- Timers of the module. ----
+void Relay::set_timer(Time after, std::uint64_t token) {
+  timers_.emplace(last_round_ + after, token);
+  arm_timers();
+}
+
+void Relay::arm_timers() {
+  if (timers_.empty()) return;
+  module_timer_.expires_after(span(timers_.begin()->first - steady_now()));
+  module_timer_.async_wait([this](error_code bad) {
+    if (bad) return;
+    const Time now = steady_now();
+    while (!timers_.empty() && timers_.begin()->first <= now) {
+      happened(event::TimerDue{timers_.begin()->second});
+      timers_.erase(timers_.begin());
+    }
+    arm_timers();
+  });
+}
+
+void Relay::compact() {
+  if (std::exchange(compacting_, true)) return;
+  net::post(io_, [this] {
+    compacting_ = false;
+    if (journal_.compact()) compact();
+  });
+}
+
+// ---- The end. ----
+void Relay::stop(std::function<void()> done) {
+  if (std::exchange(stopping_, true)) return;
+  log("stopping: " + std::to_string(journal_.held().size()) + " messages held");
+  done_ = std::move(done);
+  stop_at_ = steady_now();
+  intake_->drain();
+  check_drained();
+}
+
+void Relay::check_drained() {
+  const Time since = steady_now() - stop_at_;
+  if (!frozen_ && since >= kDrainSend) frozen_ = true;
+  const bool home = calls_.out() == 0 && (frozen_ || journal_.held().empty());
+  const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
+  if (since >= kDrainMost || (home && quiet && stalled_.empty())) {
+    log("stopped: " + std::to_string(journal_.held().size()) + " messages left in the journal, " +
+        std::to_string(calls_.out()) + " calls out");
+    return done_();
+  }
+  drain_timer_.expires_after(kDrainLook);
+  drain_timer_.async_wait([this](error_code bad) {
+    if (!bad) check_drained();
+  });
+}
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/relay.hpp
@@ -0,0 +1,95 @@
+// The round: gathers what has come in, lets the dispatcher decide, carries out its actions.
+//
+// No decision is made here and no action is taken before its record stands in the journal.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "calls.hpp"
+#include "cedarplank/dispatcher.hpp"
+#include "config.hpp"
+#include "intake.hpp"
+#include "journal.hpp"
+#include "peers.hpp"
+#include "platform.hpp"
+
+namespace heronvane {
+
+class Relay {
+ public:
+  // Takes back what an earlier life left in the folder, then listens.
+  Relay(boost::asio::io_context& io, const Config& config);
+
+  // Answers clients on, lets calls out come home, then calls `done`, within kDrainMost.
+  void stop(std::function<void()> done);
+
+ private:
+  struct Answered {
+    MessageId id;  // 0: of none that is held
+    Reply reply;
+    Answer answer;
+  };
+  // What a round decided, to be done once its records stand.
+  struct Plan {
+    std::vector<Answered> answers;
+    std::vector<std::pair<EndpointId, std::vector<Outgoing>>> calls;
+    std::vector<MessageId> endings;
+  };
+  struct Arrived {
+    Message message;
+    Reply reply;
+  };
+
+  void recover();
+  void arrive(Message message, Reply reply);
+  void ended(const cedarplank::event::AttemptEnded& e);
+  void listed(MemberList list);
+  void happened(cedarplank::Event event);
+  void schedule();
+  void round();
+  void decide(Plan& plan);
+  void carry_out(Plan plan);
+  void settle();
+  void over(MessageId id);
+  void send(Plan& plan, const cedarplank::action::Send& a);
+  void finish(Plan& plan, MessageId id, const Ending& ending);
+  void set_timer(Time after, std::uint64_t token);
+  void arm_timers();
+  void hold_back(const EndpointId& endpoint);
+  void compact();
+  void check_drained();
+  bool ready() const;
+  cedarplank::event::Arrival arrival(MessageId id, const Message& m) const;
+
+  boost::asio::io_context& io_;
+  const Config& config_;
+  Journal journal_;
+  cedarplank::Dispatcher dispatcher_;
+  Calls calls_;
+  Platform platform_;
+  std::optional<Peers> peers_;
+
+  std::map<EndpointId, cedarplank::Endpoint> endpoints_;
+  std::unordered_map<std::string, MessageId> numbers_;  // of the messages held, by the client's id
+  std::map<MessageId, Reply> unanswered_;               // taken in this round
+  MessageId next_number_ = 1;
+  std::vector<Arrived> arrived_;
+  std::uint64_t arrived_cost_ = 0;
+  std::vector<cedarplank::Event> events_;
+  std::multimap<Time, std::uint64_t> timers_;
+  std::vector<Plan> stalled_;  // waiting for their records to stand
+  Time last_round_ = 0, stop_at_ = 0;
+  bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
+  boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_;
+  std::function<void()> done_;
+  std::optional<Intake> intake_;  // last: it listens once all else stands
+};
+
+}  // namespace heronvane
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -373,14 +373,13 @@
     e.bundle = std::min(e.bundle + 1, e.bundle_max);
     if (e.call_cap > 0 && now - e.capped_at > micros(2)) e.call_cap++, e.capped_at = now;
   }
-  void call_refused(EndpointState& e, const event::AttemptEnded& ev) {
+  void call_refused(EndpointState& e) {
     Target& t = target_of(e);
     delay_up(t);
     learn_refusal(t, 0);
     if (t.refusals++ == 0) t.refused_from = now;
     if (e.health != Health::closed) pace_cut(t), cut_through(t, e, true);
     e.doubt_run = false;
-    if (ev.told_wait > 0) t.wait_until = std::max(t.wait_until, now + ev.told_wait);
     // Shut, not limited: nothing was served between the refusals.
     const bool shut = t.refusals >= kShutRun && now - t.refused_from >= micros(kShutSpan);
     if (!shut && e.health == Health::open) return;
@@ -509,6 +508,18 @@
     if (!m.cls->ordered) m.key.clear();
     if (!m.key.empty()) keys[m.key].line.push_back(m.id);
   }
+  // Back from an earlier life. An attempt that may have run bars an unsafe message from all but failing; at
+  // once, for no outcome of that life will come any more.
+  void on(const event::Recovered& ev) {
+    on(ev.message);
+    Message& m = messages.at(ev.message.id);
+    m.sends = ev.attempts;
+    m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
+    const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
+    if (!barred && m.sends < set.attempts_max && now < latest_send(m)) return;
+    finish(m, false);
+    forget(messages.find(m.id));
+  }
   // Beyond its share a tenant's messages are worth little; the share is split over the relays.
   double share_left(int tenant) {
     if (tenant < 0 || tenant >= static_cast<int>(set.tenants.size())) return 1;
@@ -590,6 +601,8 @@
     Call& call = call_it->second;
     EndpointState& e = *call.endpoint;
     const Time sent = call.sent;
+    Time& wait_until = target_of(e).wait_until;
+    if (ev.told_wait > 0) wait_until = std::max(wait_until, now + ev.told_wait);
     m.out.erase(attempt);
     const bool last = --call.left == 0;
     if (last) e.calls.erase(call_it->first);
@@ -600,7 +613,7 @@
       if (ev.outcome == Outcome::served)
         call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full)
-        call_refused(e, ev);
+        call_refused(e);
       else
         call_failed(e, ev, call.messages);
     }
