--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -183,11 +183,6 @@
     happened(event::ListChanges{endpoints_of(list)});
 }
 
-void Relay::happened(cedarplank::Event event) {
-  events_.push_back(std::move(event));
-  schedule();
-}
-
 void Relay::schedule() {
   if (round_due_) return;
   round_due_ = true;
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -51,7 +51,11 @@
   void arrive(Message message, Reply reply);
   void ended(const cedarplank::event::AttemptEnded& e);
   void listed(MemberList list);
-  void happened(cedarplank::Event event);
+  template <class E>
+  void happened(E event) {
+    events_.emplace_back(std::move(event));
+    schedule();
+  }
   void schedule();
   void round();
   void decide(Plan& plan);
