--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -527,5 +527,70 @@
   EXPECT_NE(play(3), play(4));
 }
 
+// ---- Messages of an earlier life. ----
+event::Recovered recovered(MessageId id, Class c, int attempts, bool may_have_run, Time left = 5 * kS) {
+  event::Recovered r;
+  r.message.id = id, r.message.destination = 1, r.message.message_class = c, r.message.time_left = left;
+  r.attempts = attempts;
+  if (may_have_run) r.may_have_run_zone = 0, r.may_have_run_ago = 1 * kS;
+  return r;
+}
+TEST(Recovery, AnUnsafeMessageThatMayHaveRunFailsAtOnce) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.round({recovered(1, kUnsafe, 1, true)});
+  EXPECT_EQ(r.failed.count(1), 1u);
+  r.run_to(r.now + 10 * kS);
+  EXPECT_TRUE(r.sent.empty() && r.refused.empty());
+}
+TEST(Recovery, AnUnsafeMessageThatNeverRanIsSent) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.round({recovered(1, kUnsafe, 3, false)});
+  EXPECT_EQ(r.sends_of(1), 1);
+  EXPECT_TRUE(r.failed.empty());
+}
+TEST(Recovery, ASafeMessageThatMayHaveRunIsSent) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.round({recovered(1, kSafe, 1, true)});
+  EXPECT_EQ(r.sends_of(1), 1);
+}
+TEST(Recovery, AttemptsMadeCountToTheLimit) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.round({recovered(1, kSafe, 8, true)});
+  EXPECT_EQ(r.failed.count(1), 1u);
+  EXPECT_TRUE(r.sent.empty());
+}
+TEST(Recovery, AnOverdueMessageEndsAtOnce) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.round({recovered(1, kSafe, 0, false, -1 * kS)});
+  EXPECT_EQ(r.failed.count(1), 1u);
+  EXPECT_TRUE(r.sent.empty());
+}
+TEST(Recovery, AKeyedMessageIsResentOnlyWhileItsKeyIsRemembered) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  auto late = recovered(1, kKeyed, 1, true);
+  late.may_have_run_ago = 6 * kS;  // the key is remembered for 5 s
+  r.round({late, recovered(2, kKeyed, 1, true)});
+  EXPECT_EQ(r.failed.count(1), 1u);
+  EXPECT_EQ(r.sends_of(1), 0);
+  EXPECT_EQ(r.sends_of(2), 1);
+}
+TEST(Waits, AWaitToldWithAServeHoldsToo) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  const auto first = r.arrive(kSafe);
+  r.end(first, Outcome::served, 800 * kMs);
+  const auto second = r.arrive(kSafe);
+  r.run_to(r.now + 790 * kMs);
+  EXPECT_EQ(r.sends_of(second), 0);
+  r.run_to(r.now + 100 * kMs);
+  EXPECT_EQ(r.sends_of(second), 1);
+}
+
 }  // namespace
 }  // namespace cedarplank::testing
--- /dev/null
+++ b/tests/relay_harness.hpp
@@ -0,0 +1,282 @@
+// The real program as a child process, among fake clients, endpoints and a fake platform on loopback sockets.
+// One thread and one event loop: a test waits for conditions, never for a fixed time.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace heronvane::testing {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using tcp = net::ip::tcp;
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+constexpr auto kPatience = std::chrono::seconds(30);
+
+// An address of this process alone, so that tests run beside one another.
+inline std::string own_address() {
+  const auto pid = ::getpid();
+  return "127." + std::to_string(60 + (pid >> 16) % 60) + "." + std::to_string((pid >> 8) % 256) + "." +
+         std::to_string(1 + pid % 254);
+}
+
+// What a server got, and the connection to answer it on.
+struct Session : std::enable_shared_from_this<Session> {
+  explicit Session(tcp::socket s) : socket(std::move(s)) {}
+  void write(const std::string& bytes) {
+    error_code ignored;
+    net::write(socket, net::buffer(bytes), ignored);
+  }
+  void answer(unsigned status, const std::string& headers = "", const std::string& body = "") {
+    write("HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers + "Content-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  void close() {
+    error_code ignored;
+    socket.close(ignored);
+  }
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+  bool ended = false;  // the other side is gone
+};
+struct Got {
+  Request request;
+  std::shared_ptr<Session> session;
+};
+
+class Server {
+ public:
+  using Handler = std::function<void(const Got&)>;
+  Server(net::io_context& io, Handler handler)
+      : acceptor_(io, {net::ip::make_address(own_address()), 0}), handler_(std::move(handler)) {
+    accept();
+  }
+  std::string address() const {
+    return own_address() + ":" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  void on_request(Handler handler) { handler_ = std::move(handler); }
+  void shut() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& s : sessions) s->close();
+  }
+
+  std::vector<Got> got;
+  std::vector<std::shared_ptr<Session>> sessions;
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
+      if (bad) return;
+      sessions.push_back(std::make_shared<Session>(std::move(socket)));
+      read(sessions.back());
+      accept();
+    });
+  }
+  void read(const std::shared_ptr<Session>& session) {
+    const auto request = std::make_shared<Request>();
+    http::async_read(session->socket, session->buffer, *request, [this, session, request](error_code bad, auto) {
+      if (bad) {
+        session->ended = true;
+        return;
+      }
+      got.push_back({*request, session});
+      handler_(got.back());
+      read(session);
+    });
+  }
+  tcp::acceptor acceptor_;
+  Handler handler_;
+};
+
+inline void answer_ok(const Got& g) { g.session->answer(200); }
+inline void stay_silent(const Got&) {}
+
+// One client connection.
+class Client {
+ public:
+  explicit Client(tcp::socket socket) : socket_(std::move(socket)) { read(); }
+  void write(const std::string& bytes) {
+    error_code ignored;
+    net::write(socket_, net::buffer(bytes), ignored);
+  }
+  void end_sending() { socket_.shutdown(tcp::socket::shutdown_send); }
+  std::vector<Response> answers;
+  bool ended = false;
+
+ private:
+  void read() {
+    const auto answer = std::make_shared<Response>();
+    http::async_read(socket_, buffer_, *answer, [this, answer](error_code bad, auto) {
+      ended = bool(bad);
+      if (bad) return;
+      answers.push_back(*answer);
+      read();
+    });
+  }
+  tcp::socket socket_;
+  beast::flat_buffer buffer_;
+};
+
+class RelayTest : public ::testing::Test {
+ protected:
+  RelayTest()
+      : endpoint(io, answer_ok), platform(io, [this](const Got& g) { on_platform(g); }) {
+    const auto base = std::filesystem::temp_directory_path() / ("heronvane-test-" + std::to_string(::getpid()));
+    folder = base.string();
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder + "/state");
+    tcp::acceptor probe(io, {net::ip::make_address(own_address()), 0});
+    port = probe.local_endpoint().port();
+  }
+  ~RelayTest() override {
+    if (child > 0) ::kill(child, SIGKILL), ::waitpid(child, nullptr, 0);
+    std::filesystem::remove_all(folder);
+  }
+
+  // ---- The program. ----
+  virtual std::string limits() { return R"({"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3})"; }
+  std::string settings() {
+    return R"({"Classes":[{"Name":"load-status","Points":1.0,"Target":1000000,"Deadline":6000000,)"
+           R"("Idempotency":"read_like"},{"Name":"pay-and-order","Points":3.0,"Target":2000000,)"
+           R"("Deadline":24000000,"Idempotency":"non_idempotent","LateWorth":0.3}],)"
+           R"("FamilyInfo":{"Workers":8,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
+           R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
+           R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"ConnIdle":5000000,)"
+           R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":"subscribe","GroupSize":1,)"
+           R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":5000})";
+  }
+  std::string member(const std::string& name, const std::string& address, const std::string& status = "ready",
+                     const std::string& type = "small") {
+    return R"({"name":")" + name + R"(","address":")" + address + R"(","zone":"a","type":")" + type +
+           R"(","group":7,"status":")" + status + R"(","weight":1.0,"since_ms":0})";
+  }
+  std::string list(const std::string& entries, bool whole = true) {
+    return R"({"index":41,"snapshot":)" + std::string(whole ? "true" : "false") + R"(,"endpoints":[)" + entries +
+           "]}";
+  }
+  std::string config() {
+    const std::string own = own_address() + ":" + std::to_string(port);
+    return R"({"name":"n0","listen":")" + own + R"(","discovery":")" + platform.address() +
+           R"(","seed":"8c1f30d27a5be964","limits":)" + limits() + R"(,"known":)" + list(members) +
+           R"(,"settings":)" + settings() + "}";
+  }
+  void spawn(const std::string& text) {
+    std::ofstream(folder + "/config.json") << text;
+    child = ::fork();
+    if (child == 0) {
+      ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
+      ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
+      if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
+      ::execl(HERONVANE_PROGRAM, HERONVANE_PROGRAM, static_cast<char*>(nullptr));
+      ::_exit(127);
+    }
+  }
+  void start() {
+    if (members.empty()) members = member("s-1", endpoint.address());
+    spawn(config());
+    wait_for([this] { return health() == 200; }, "the relay is ready");
+  }
+  // Its exit status, or -1 where a signal ended it.
+  int wait_exit() {
+    int status = 0;
+    wait_for([&] { return ::waitpid(child, &status, WNOHANG) == child; }, "the relay ends");
+    child = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  void kill_relay() {
+    ::kill(child, SIGKILL);
+    wait_exit();
+  }
+  std::string logged() {
+    std::ifstream in(folder + "/log");
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+
+  // ---- Clients. ----
+  std::shared_ptr<Client> connect() {
+    tcp::socket socket(io);
+    error_code bad;
+    socket.connect({net::ip::make_address(own_address()), port}, bad);
+    if (bad) return nullptr;
+    clients.push_back(std::make_shared<Client>(std::move(socket)));
+    return clients.back();
+  }
+  static std::string request(const std::string& id, const std::string& cls, const std::string& body = "hello",
+                             const std::string& deadline = "6000m") {
+    return "POST /" + cls + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: " + cls +
+           "\r\nX-Deadline: " + deadline + "\r\nX-Consignee: dest=7\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  unsigned ask(const std::string& bytes) {
+    const auto client = connect();
+    if (!client) return 0;
+    client->write(bytes);
+    wait_for([&] { return client->ended || !client->answers.empty(); }, "an answer");
+    return client->answers.empty() ? 0 : client->answers[0].result_int();
+  }
+  unsigned health() { return ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  unsigned hand_in(const std::string& id, const std::string& cls, const std::string& body = "hello",
+                   const std::string& deadline = "6000m") {
+    return ask(request(id, cls, body, deadline));
+  }
+
+  // ---- The platform. ----
+  void on_platform(const Got& g) {
+    if (g.request.method() == http::verb::post) {
+      if (finals_status == 204) finals += g.request.body();
+      refused_finals += finals_status != 204;
+      return g.session->answer(finals_status);
+    }
+    watches.push_back(g.session);
+    g.session->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    tell(list(members));
+  }
+  void tell(const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+    watches.back()->write(size + line + "\n\r\n");
+  }
+
+  template <class Condition>
+  void wait_for(Condition condition, const char* what) {
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > until) {
+        FAIL() << "waited in vain until " << what << "; its log:\n" << logged();
+      }
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  net::io_context io;
+  Server endpoint, platform;
+  std::string folder, members, finals;
+  std::uint16_t port = 0;
+  pid_t child = -1;
+  unsigned finals_status = 204;
+  int refused_finals = 0;
+  std::vector<std::shared_ptr<Session>> watches;
+  std::vector<std::shared_ptr<Client>> clients;
+};
+
+}  // namespace heronvane::testing
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,388 @@
+// The whole relay over loopback sockets. Each test says which failure it guards against.
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+const char* const kSafe = "load-status";
+const char* const kUnsafe = "pay-and-order";
+
+TEST_F(RelayTest, DeliversAndOwesNothingMore) {
+  start();
+  const std::string body("\0\x01 any bytes \xff", 14);
+  EXPECT_EQ(hand_in("m1", kSafe, body), 202u);
+  wait_for([&] { return !endpoint.got.empty(); }, "the call");
+  const Request& call = endpoint.got[0].request;
+  EXPECT_EQ(call.target(), "/events");
+  EXPECT_EQ(call["X-Request-Id"], "m1");
+  EXPECT_EQ(call.body(), body);
+  EXPECT_EQ(call["X-Deadline"].back(), 'u');
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_EQ(endpoint.got.size(), 1u);
+  EXPECT_EQ(finals, "");
+}
+
+TEST_F(RelayTest, KeepsItsConnectionToAnEndpoint) {
+  start();
+  for (int i = 0; i < 5; i++) {
+    EXPECT_EQ(hand_in("m" + std::to_string(i), kSafe), 202u);
+    wait_for([&] { return endpoint.got.size() == static_cast<std::size_t>(i) + 1; }, "the call");
+  }
+  EXPECT_EQ(endpoint.sessions.size(), 1u);
+}
+
+// A kept connection that the endpoint has closed must not be written to: that would be a reset, and the end
+// of an unsafe message.
+TEST_F(RelayTest, DoesNotUseAConnectionThatTheEndpointClosed) {
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  endpoint.sessions[0]->close();
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the second call");
+  EXPECT_EQ(endpoint.sessions.size(), 2u);
+  EXPECT_EQ(finals, "");
+}
+
+TEST_F(RelayTest, AMessageHandedInTwiceIsOne) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() >= 2; }, "both calls");
+  EXPECT_NE(endpoint.got[0].request["X-Request-Id"], endpoint.got[1].request["X-Request-Id"]);
+}
+
+// Whatever comes in is answered or dropped, and the next message is served as if nothing had been.
+TEST_F(RelayTest, BadInputIsTurnedDown) {
+  start();
+  EXPECT_EQ(ask("NONSENSE\r\n\r\n"), 400u);
+  EXPECT_EQ(ask("POST /load-status HTTP/1.1\r\nContent-Length: banana\r\n\r\n"), 400u);
+  EXPECT_EQ(ask("POST /load-status HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"), 400u);  // no headers of ours
+  EXPECT_EQ(ask("POST /unheard-of HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"), 404u);
+  EXPECT_EQ(ask("GET /load-status HTTP/1.1\r\n\r\n"), 405u);
+  EXPECT_EQ(hand_in("m1", kSafe, "x", "soon"), 400u);
+  EXPECT_EQ(hand_in("m1", kSafe, "x", "-5m"), 400u);
+  EXPECT_EQ(hand_in("m1", kSafe, std::string(65 * 1024, 'x')), 413u);
+  EXPECT_EQ(ask("GET /_health HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), 400u);
+  connect()->write("POST /load-status HT");           // a slow one, never done
+  const auto half = connect();
+  half->write(request("m2", kSafe).substr(0, 80));
+  half->end_sending();
+  wait_for([&] { return half->ended; }, "half a request is dropped");
+  EXPECT_EQ(hand_in("m3", kSafe, std::string(64 * 1024, 'x')), 202u);
+  wait_for([&] { return !endpoint.got.empty(); }, "the call");
+  EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "m3");
+}
+
+TEST_F(RelayTest, AClientThatEndedItsSendingIsAnswered) {
+  start();
+  const auto client = connect();
+  client->write(request("m1", kSafe));
+  client->end_sending();
+  wait_for([&] { return !client->answers.empty(); }, "the answer");
+  EXPECT_EQ(client->answers[0].result_int(), 202u);
+}
+
+TEST_F(RelayTest, ContinuesAClientThatAsksFirst) {
+  start();
+  const auto client = connect();
+  std::string head = request("m1", kSafe);
+  head.insert(head.find("Content-Length"), "Expect: 100-continue\r\n");
+  client->write(head.substr(0, head.size() - 5));
+  wait_for([&] { return !client->answers.empty(); }, "100");
+  EXPECT_EQ(client->answers[0].result_int(), 100u);
+  client->write("hello");
+  wait_for([&] { return client->answers.size() == 2; }, "202");
+  EXPECT_EQ(client->answers[1].result_int(), 202u);
+}
+
+// At the limit of what may be held a client is told so at once.
+TEST_F(RelayTest, RefusesAtTheOpenLimit) {
+  endpoint.on_request(stay_silent);
+  start();
+  int taken = 0, refused = 0;
+  for (int i = 0; i < 60; i++) {
+    const auto status = hand_in("m" + std::to_string(i), kUnsafe, "x", "24000m");
+    taken += status == 202;
+    refused += status == 503;
+  }
+  EXPECT_EQ(taken + refused, 60);
+  EXPECT_LE(taken, 40);
+  EXPECT_GE(taken, 30);
+}
+
+// An unsafe call that may have run is neither sent again nor refused: it ends by one notice.
+TEST_F(RelayTest, AnUnsafeMessageIsNotRepeatedAfterAReset) {
+  endpoint.on_request([](const Got& g) { g.session->close(); });
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return !finals.empty(); }, "the notice");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(endpoint.got.size(), 1u);
+}
+
+TEST_F(RelayTest, AnUnsafeMessageIsSentAgainWhereNoConnectionCameUp) {
+  // Bound but not listening: connects are refused.
+  tcp::socket closed(io);
+  closed.open(tcp::v4());
+  closed.bind({net::ip::make_address(own_address()), 0});
+  const auto port_of = std::to_string(closed.local_endpoint().port());
+  members = member("s-1", own_address() + ":" + port_of);
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
+  wait_for([&] { return logged().find("closed s-1: no connection") != std::string::npos; }, "connects fail");
+  members = member("s-1", endpoint.address());  // the same endpoint, found elsewhere
+  tell(list(members));
+  wait_for([&] { return !endpoint.got.empty(); }, "the call");
+  EXPECT_EQ(finals, "");
+}
+
+TEST_F(RelayTest, AToldWaitIsKept) {
+  std::vector<steady_clock::time_point> at;
+  endpoint.on_request([&](const Got& g) {
+    at.push_back(steady_clock::now());
+    at.size() == 1 ? g.session->answer(429, "X-Come-Back-Ms: 1200\r\n") : g.session->answer(200);
+  });
+  start();
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return at.size() == 1; }, "the first call");
+  EXPECT_EQ(hand_in("m2", kSafe), 202u);
+  wait_for([&] { return at.size() == 3; }, "all calls");
+  EXPECT_GE(at[1] - at[0], milliseconds(1200));
+}
+
+// A wait may stand in any answer, also one that delivers.
+TEST_F(RelayTest, AWaitToldWithADeliveryIsKept) {
+  std::vector<steady_clock::time_point> at;
+  endpoint.on_request([&](const Got& g) {
+    at.push_back(steady_clock::now());
+    g.session->answer(200, at.size() == 1 ? "X-Come-Back-Ms: 1200\r\n" : "");
+  });
+  start();
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return at.size() == 1; }, "the first call");
+  EXPECT_EQ(hand_in("m2", kSafe), 202u);
+  wait_for([&] { return at.size() == 2; }, "the second call");
+  EXPECT_GE(at[1] - at[0], milliseconds(1200));
+}
+
+// Several messages in one call each have an end of their own; one that the answer leaves out may have run.
+TEST_F(RelayTest, ABundleGivesEachMessageItsEnd) {
+  members = member("s-1", endpoint.address(), "ready", "big");
+  std::map<std::string, int> seen;
+  endpoint.on_request([&](const Got& g) {
+    if (g.request.target() != "/events/bundle") {
+      seen[std::string(g.request["X-Request-Id"])]++;
+      return g.session->answer(200);
+    }
+    std::string answer = "[";
+    for (const std::string id : {"m1", "m2", "m3"}) {
+      if (g.request.body().find("\"id\":\"" + id + "\",\"body\":\"aGVsbG8=\"") == std::string::npos) continue;
+      seen[id]++;
+      if (id == "m3") continue;
+      answer += std::string(answer.size() > 1 ? "," : "") + R"({"id":")" + id + R"(","state":")" +
+                (id == "m1" ? "done" : "busy") + "\"}";
+    }
+    g.session->answer(200, "", answer + "]");
+  });
+  start();
+  // All within one round: the first two connections' requests are read before it.
+  const auto client1 = connect(), client2 = connect(), client3 = connect();
+  ::kill(child, SIGSTOP);
+  client1->write(request("m1", kUnsafe)), client2->write(request("m2", kUnsafe)),
+      client3->write(request("m3", kUnsafe));
+  ::kill(child, SIGCONT);
+  wait_for([&] { return seen["m1"] >= 1 && seen["m2"] >= 2 && !finals.empty(); }, "each has its end");
+  EXPECT_EQ(seen["m1"], 1);
+  EXPECT_EQ(seen["m2"], 2);
+  EXPECT_EQ(seen["m3"], 1);
+  EXPECT_EQ(finals, "{\"id\":\"m3\",\"status\":\"undeliverable\"}\n");
+}
+
+TEST_F(RelayTest, GarbageFromAnEndpointIsAReset) {
+  int calls = 0;
+  endpoint.on_request([&](const Got& g) {
+    if (++calls > 1) return g.session->answer(200);
+    g.session->write("\x01\x02 not HTTP\r\n\r\n");
+    g.session->close();
+  });
+  start();
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return calls == 2; }, "it is sent again");
+}
+
+TEST_F(RelayTest, NothingNewGoesToADrainingEndpoint) {
+  Server other(io, answer_ok);
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  tell(list(member("s-1", endpoint.address(), "draining") + "," + member("s-2", other.address()), false));
+  wait_for([&] { return endpoint.sessions[0]->ended; }, "its idle connection is closed");
+  for (int i = 2; i < 6; i++) EXPECT_EQ(hand_in("m" + std::to_string(i), kSafe), 202u);
+  wait_for([&] { return other.got.size() == 4; }, "the calls go elsewhere");
+  EXPECT_EQ(endpoint.got.size(), 1u);
+}
+
+// Discovery that talks nonsense, or ends the watch, is asked again; what was known holds until then.
+TEST_F(RelayTest, AWatchThatBreaksIsBegunAgain) {
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  tell("{\"index\":\"what\"}");
+  wait_for([&] { return watches.size() == 2; }, "a new watch");
+  watches.back()->close();
+  wait_for([&] { return watches.size() == 3; }, "another watch");
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return !endpoint.got.empty(); }, "the call");
+}
+
+// A connection that says nothing more is as dead as one that ended: the list would grow stale unseen.
+TEST_F(RelayTest, ASilentWatchIsTakenAsEnded) {
+  start();
+  wait_for([&] { return watches.size() == 2; }, "a new watch after the silence");
+  EXPECT_NE(logged().find("silent for too long"), std::string::npos);
+}
+
+TEST_F(RelayTest, ANoticeIsResentUntilThePlatformHasIt) {
+  endpoint.on_request([](const Got& g) { g.session->close(); });
+  finals_status = 503;
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return refused_finals >= 2; }, "it is sent again");
+  kill_relay();
+  start();
+  finals_status = 204;
+  wait_for([&] { return !finals.empty(); }, "a new life sends it too");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(endpoint.got.size(), 1u);
+}
+
+// ---- Restarts. ----
+TEST_F(RelayTest, AnUnsafeCallThatWasOutAtSigkillEndsAsFailed) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  kill_relay();
+  endpoint.on_request(answer_ok);
+  start();
+  wait_for([&] { return !finals.empty(); }, "the notice");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the next message's call");
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m2");
+}
+
+TEST_F(RelayTest, ASafeCallThatWasOutAtSigkillIsMadeAgain) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  kill_relay();
+  endpoint.on_request(answer_ok);
+  start();
+  wait_for([&] { return endpoint.got.size() == 2; }, "the call again");
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m1");
+  EXPECT_EQ(endpoint.got[1].request.body(), "hello");
+  EXPECT_EQ(finals, "");
+}
+
+TEST_F(RelayTest, WhatFellDueWhileItWasDownEndsAtOnce) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kSafe, "x", "300m"), 202u);
+  kill_relay();
+  const auto due = steady_clock::now() + milliseconds(300);
+  wait_for([&] { return steady_clock::now() > due; }, "its time is up");
+  const auto before = endpoint.got.size();
+  start();
+  wait_for([&] { return !finals.empty(); }, "the notice");
+  EXPECT_EQ(endpoint.got.size(), before);
+}
+
+// At SIGTERM calls that are out come home, clients are answered on, and the process ends by itself.
+TEST_F(RelayTest, DrainsAtSigterm) {
+  endpoint.on_request(stay_silent);
+  start();
+  const auto client = connect();
+  client->write(request("m1", kUnsafe));
+  wait_for([&] { return client->answers.size() == 1 && endpoint.got.size() == 1; }, "the call");
+  const auto began = steady_clock::now();
+  ::kill(child, SIGTERM);
+  wait_for([&] { return client->ended; }, "the idle client connection is closed");
+  EXPECT_EQ(health(), 503u);
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the second call");
+  for (const auto& g : endpoint.got) g.session->answer(200);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_LT(steady_clock::now() - began, milliseconds(3700));
+  start();
+  EXPECT_EQ(finals, "");
+  EXPECT_EQ(endpoint.got.size(), 2u);
+}
+
+TEST_F(RelayTest, WhatIsLeftAtSigtermIsTakenUpAgain) {
+  members = member("s-1", endpoint.address(), "draining") + "," +
+            R"({"name":"s-9","address":"127.0.0.1:9","zone":"a","type":"small","group":8,"status":"ready"})";
+  start();  // nothing may be sent to destination 7
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_EQ(endpoint.got.size(), 0u);
+  members = member("s-1", endpoint.address());
+  start();
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "m1");
+}
+
+// ---- The configuration. ----
+TEST_F(RelayTest, ABadConfigurationIsOneLineAndAnExit) {
+  members = member("s-1", endpoint.address());
+  const auto without = [this](const std::string& text, const std::string& by) {
+    std::string c = config();
+    c.replace(c.find(text), text.size(), by);
+    std::filesystem::remove(folder + "/log");
+    spawn(c);
+    EXPECT_EQ(wait_exit(), 1);
+    const auto log = logged();
+    EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
+    return log;
+  };
+  EXPECT_NE(without("\"seed\"", "\"sead\"").find("config.seed"), std::string::npos);
+  EXPECT_NE(without("\"disk_mb\":3", "\"disk_mb\":\"much\"").find("config.limits.disk_mb"), std::string::npos);
+  EXPECT_NE(without("\"Workers\":8", "\"Workers\":0").find("slots"), std::string::npos);
+  EXPECT_NE(without("\"Workers\":8", "\"Walkers\":8").find("FamilyInfo.Workers"), std::string::npos);
+  EXPECT_NE(without("\"name\":\"s-1\"", "\"name\":1").find("known.endpoints.name"), std::string::npos);
+  EXPECT_NE(without("{\"name\"", "{{").find("config"), std::string::npos);
+}
+
+// The journal fills with large bodies: clients are refused, and served again once there is room.
+class SmallDiskTest : public RelayTest {
+ protected:
+  std::string limits() override { return R"({"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":1})"; }
+};
+TEST_F(SmallDiskTest, AFullJournalRefusesAndRecovers) {
+  endpoint.on_request(stay_silent);
+  start();
+  const std::string body(60'000, 'x');
+  int n = 0;
+  while (n < 30 && hand_in("m" + std::to_string(n), kSafe, body) == 202u) n++;
+  EXPECT_GE(n, 3);
+  EXPECT_LT(n, 30);
+  for (const auto& g : endpoint.got) g.session->answer(200);
+  endpoint.on_request(answer_ok);
+  for (int i = 0; i < 40; i++)
+    wait_for([&] { return hand_in("n" + std::to_string(i), kSafe, body) == 202u; }, "there is room again");
+  std::uintmax_t bytes = 0;
+  for (const auto& f : std::filesystem::directory_iterator(folder + "/state")) bytes += f.file_size();
+  EXPECT_LE(bytes, 1'000'000u);
+}
+
+}  // namespace
+}  // namespace heronvane::testing
