--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -127,6 +127,11 @@
   close_idle(endpoint);
 }
 
+void Calls::forget(const EndpointId& endpoint) {
+  close_idle(endpoint);
+  places_.erase(endpoint);
+}
+
 void Calls::send(const EndpointId& endpoint, std::vector<Outgoing> messages) {
   const auto call = std::make_shared<Call>(io_, endpoint, std::move(messages));
   const bool room = out_.size() < limits_.slots && places_.count(endpoint) > 0;
@@ -139,7 +144,9 @@
 }
 
 void Calls::begin(const std::shared_ptr<Call>& call) {
-  Place& place = places_[call->endpoint];
+  const auto found = places_.find(call->endpoint);
+  if (found == places_.end()) return end_all(call, Outcome::not_sent);
+  Place& place = found->second;
   while (!place.idle.empty()) {
     const auto connection = place.idle.back();
     place.idle.pop_back(), kept_--;
@@ -154,13 +161,12 @@
     arm(call);
     return write(call);
   }
-  connect(call);
+  connect(call, place.address);
 }
 
-void Calls::connect(const std::shared_ptr<Call>& call) {
+void Calls::connect(const std::shared_ptr<Call>& call, const tcp::endpoint& address) {
   call->connection = std::make_shared<Connection>(io_);
-  call->connection->address = places_[call->endpoint].address;
-  opened_++;
+  call->connection->address = address;
   arm(call);
   call->connection->socket.async_connect(call->connection->address, [this, call](error_code bad) {
     if (call->stage == Call::Stage::done) return;
@@ -347,7 +353,9 @@
 
 void Calls::keep(const std::shared_ptr<Call>& call) {
   const auto connection = std::move(call->connection);
-  Place& place = places_[call->endpoint];
+  const auto found = places_.find(call->endpoint);
+  if (found == places_.end()) return;
+  Place& place = found->second;
   const bool sound = call->parser->keep_alive() && connection->buffer.size() == 0;
   if (!sound || connection->address != place.address || kept_ >= limits_.kept_most) return;
   connection->idle_since = steady_now();
@@ -366,14 +374,16 @@
 }
 
 void Calls::drop(const EndpointId& endpoint, const Connection* connection) {
-  auto& idle = places_[endpoint].idle;
-  kept_ -= std::erase_if(idle, [&](const auto& c) { return c.get() == connection; });
+  const auto found = places_.find(endpoint);
+  if (found == places_.end()) return;
+  kept_ -= std::erase_if(found->second.idle, [&](const auto& c) { return c.get() == connection; });
 }
 
 void Calls::close_idle(const EndpointId& endpoint) {
-  auto& idle = places_[endpoint].idle;
-  kept_ -= idle.size();
-  idle.clear();
+  const auto found = places_.find(endpoint);
+  if (found == places_.end()) return;
+  kept_ -= found->second.idle.size();
+  found->second.idle.clear();
 }
 
 // Closes kept connections before their end comes; sleeps until the next is due.
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -47,6 +47,7 @@
 
   // Where an endpoint is found; kept connections to another address are closed.
   void locate(const EndpointId& endpoint, const boost::asio::ip::tcp::endpoint& address);
+  void forget(const EndpointId& endpoint);  // it is gone
   // One call; `ended` hears of each message once, never from inside send().
   void send(const EndpointId& endpoint, std::vector<Outgoing> messages);
   void cancel(MessageId id, int attempt);
@@ -55,7 +56,6 @@
   void hold_back(const EndpointId& endpoint);
 
   std::size_t out() const { return out_.size(); }
-  std::size_t opened() const { return opened_; }
 
  private:
   struct Connection;
@@ -66,7 +66,7 @@
   };
 
   void begin(const std::shared_ptr<Call>& call);
-  void connect(const std::shared_ptr<Call>& call);
+  void connect(const std::shared_ptr<Call>& call, const boost::asio::ip::tcp::endpoint& address);
   void write(const std::shared_ptr<Call>& call);
   void read(const std::shared_ptr<Call>& call);
   void answered(const std::shared_ptr<Call>& call);
@@ -85,7 +85,7 @@
   boost::asio::steady_timer sweep_timer_;
   std::map<EndpointId, Place> places_;
   std::set<std::shared_ptr<Call>> out_;
-  std::size_t kept_ = 0, opened_ = 0;
+  std::size_t kept_ = 0;
 };
 
 }  // namespace heronvane
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <cstdio>
+#include <limits>
 #include <optional>
 
 #include "log.hpp"
@@ -73,6 +74,7 @@
       : intake_(intake), socket_(std::move(socket)), timer_(intake.io_) {}
 
   bool idle() const { return idle_; }
+  Time idle_since() const { return idle_ ? idle_since_ : std::numeric_limits<Time>::max(); }
 
   void next() {
     if (buffer_.size() > 0) return read_header();
@@ -83,6 +85,7 @@
   // The first request of a new connection is waited for while draining too: it may be on the way.
   void wait() {
     idle_ = true;
+    idle_since_ = steady_now();
     limit(kIdleTime);
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
       self->idle_ = false;
@@ -231,6 +234,7 @@
   beast::flat_buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::empty_body> response_;
+  Time idle_since_ = 0;
   bool idle_ = false, closed_ = false, close_after_ = false;
 };
 
@@ -258,6 +262,13 @@
         if (!stopped) accept();
       });
     }
+    // One that stands between requests may be closed; one with a request would lose its message.
+    if (sessions_.size() >= most_clients_) {
+      const auto longest = std::min_element(sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
+        return a->idle_since() < b->idle_since();
+      });
+      (*longest)->drain();
+    }
     if (sessions_.size() >= most_clients_) {
       if (!turned_away_) log("too many client connections: turning new ones away");
       turned_away_ = true;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -221,13 +221,19 @@
   } else if (kind == kEnding) {
     Ending e;
     e.deferred = in.number<bool>(), e.again = in.number<Time>();
+    endings_ += !h.ending;
     h.ending = e;
   } else if (kind == kOver) {
-    reserved_ -= cost(h.message);
-    held_.erase(it);
+    forget(it);
   }
 }
 
+void Journal::forget(std::map<MessageId, Held>::iterator it) {
+  reserved_ -= cost(it->second.message);
+  endings_ -= it->second.ending.has_value();
+  held_.erase(it);
+}
+
 std::uint64_t Journal::cost(const Message& m) { return framed(take_record(0, m)).size() + kLaterRecords; }
 
 std::uint64_t Journal::bytes() const { return on_disk(size_) + on_disk(next_size_); }
@@ -260,15 +266,16 @@
   add(id, outcome_record(id, attempt, o));
 }
 void Journal::ending(MessageId id, Ending ending) {
-  held_.at(id).ending = ending;
+  auto& slot = held_.at(id).ending;
+  endings_ += !slot;
+  slot = ending;
   add(id, ending_record(id, ending));
 }
 void Journal::over(MessageId id) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
   add(id, Packer(kOver, id).payload());
-  reserved_ -= cost(it->second.message);
-  held_.erase(it);
+  forget(it);
 }
 
 void Journal::write_file(int file, std::uint64_t& size, const std::string& bytes) {
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -56,6 +56,7 @@
   Journal& operator=(const Journal&) = delete;
 
   const std::map<MessageId, Held>& held() const { return held_; }
+  std::size_t open() const { return held_.size() - endings_; }  // held, and not yet given up
   // What was found at the start and could not be used.
   std::uint64_t dropped_bytes() const { return dropped_; }
 
@@ -79,6 +80,7 @@
   std::uint64_t bytes() const;  // of both files
 
  private:
+  void forget(std::map<MessageId, Held>::iterator it);
   void add(MessageId id, const std::string& payload);
   bool compact_step();
   void recover();
@@ -94,6 +96,7 @@
   std::uint64_t dropped_ = 0;
   std::string pending_, next_pending_;
   std::map<MessageId, Held> held_;
+  std::size_t endings_ = 0;  // of these, given up
 };
 
 }  // namespace heronvane
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -123,16 +123,15 @@
 
 bool Relay::ready() const {
   const auto active = [](const auto& entry) { return entry.second.listing == Listing::active; };
-  return !stopping_ && stalled_.empty() && std::any_of(endpoints_.begin(), endpoints_.end(), active);
+  return !stopping_ && !unwritten_ && std::any_of(endpoints_.begin(), endpoints_.end(), active);
 }
 
 // ---- What comes in. ----
 void Relay::arrive(Message message, Reply reply) {
   // Handed in once more on a new connection, since the answer was lost: it is ours already.
   if (numbers_.count(message.id) > 0) return reply({202, 0});
-  std::size_t open = arrived_.size();
-  for (const auto& [id, held] : journal_.held()) open += !held.ending;
-  if (open >= static_cast<std::size_t>(config_.settings.open_max) || !stalled_.empty() ||
+  const std::size_t open = arrived_.size() + journal_.open();
+  if (open >= static_cast<std::size_t>(config_.settings.open_max) || unwritten_ ||
       !journal_.room_for(message, arrived_cost_))
     return reply({503, 0});
   arrived_cost_ += Journal::cost(message);
@@ -175,6 +174,7 @@
     if (e.listing == Listing::active) continue;
     calls_.hold_back(id);
     calls_.close_idle(id);
+    if (e.listing == Listing::gone) calls_.forget(id);
   }
   std::erase_if(endpoints_, [](const auto& entry) { return entry.second.listing == Listing::gone; });
   if (list.snapshot)
@@ -291,8 +291,8 @@
 // Writes the records, then does what waited for them.
 void Relay::settle() {
   if (!journal_.commit()) {
-    if (stalled_.empty()) stalled_.emplace_back();  // nothing new is taken on until it is written
-    log("journal: can't be written now");
+    if (stalled_.empty()) stalled_.emplace_back();
+    if (!std::exchange(unwritten_, true)) log("journal: can't be written; taking nothing on until it can");
     // Their clients wait only so long: what stands in no record was not taken on.
     for (auto& plan : stalled_) {
       for (auto& a : plan.answers) {
@@ -308,6 +308,7 @@
       if (!bad) settle();
     });
   }
+  if (std::exchange(unwritten_, false)) log("journal: written again");
   for (auto& plan : std::exchange(stalled_, {})) carry_out(std::move(plan));
 }
 
@@ -373,7 +374,7 @@
   if (!frozen_ && since >= kDrainSend) frozen_ = true;
   const bool home = calls_.out() == 0 && (frozen_ || journal_.held().empty());
   const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
-  if (since >= kDrainMost || (home && quiet && stalled_.empty())) {
+  if (since >= kDrainMost || (home && quiet && !unwritten_)) {
     log("stopped: " + std::to_string(journal_.held().size()) + " messages left in the journal, " +
         std::to_string(calls_.out()) + " calls out");
     return done_();
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -90,6 +90,7 @@
   std::multimap<Time, std::uint64_t> timers_;
   std::vector<Plan> stalled_;  // waiting for their records to stand
   Time last_round_ = 0, stop_at_ = 0;
+  bool unwritten_ = false;  // the journal could not be written
   bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
   boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_;
   std::function<void()> done_;
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -183,6 +184,11 @@
     std::ofstream(folder + "/config.json") << text;
     child = ::fork();
     if (child == 0) {
+      if (largest_file > 0) {
+        const rlimit limit{largest_file, RLIM_INFINITY};
+        ::signal(SIGXFSZ, SIG_IGN);
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+      }
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
@@ -273,6 +279,7 @@
   std::string folder, members, finals;
   std::uint16_t port = 0;
   pid_t child = -1;
+  rlim_t largest_file = 0;  // that the program may write; 0: any
   unsigned finals_status = 204;
   int refused_finals = 0;
   std::vector<std::shared_ptr<Session>> watches;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -341,6 +341,32 @@
   EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "m1");
 }
 
+// A disk that takes nothing more: clients are refused at once, nothing is lost, and service goes on after it.
+TEST_F(RelayTest, AnUnwritableJournalRefusesAndRecovers) {
+  std::vector<std::string> called;
+  endpoint.on_request([&](const Got& g) {
+    called.emplace_back(g.request["X-Request-Id"]);
+    g.session->answer(200);
+  });
+  largest_file = 4096;
+  start();
+  int taken = 0;
+  while (taken < 100 && hand_in("m" + std::to_string(taken), kUnsafe, std::string(200, 'x')) == 202u) taken++;
+  EXPECT_GT(taken, 1);
+  ASSERT_LT(taken, 100);
+  EXPECT_EQ(hand_in("late", kUnsafe), 503u);
+  EXPECT_EQ(health(), 503u);
+  const rlimit any{RLIM_INFINITY, RLIM_INFINITY};
+  ASSERT_EQ(::prlimit(child, RLIMIT_FSIZE, &any, nullptr), 0);
+  wait_for([&] { return health() == 200; }, "it can be written again");
+  EXPECT_EQ(hand_in("after", kUnsafe), 202u);
+  const auto was_called = [&](const std::string& id) { return std::count(called.begin(), called.end(), id); };
+  wait_for([&] { return was_called("after") == 1; }, "the call");
+  for (int i = 0; i < taken; i++) EXPECT_EQ(was_called("m" + std::to_string(i)), 1) << i;
+  EXPECT_EQ(was_called("m" + std::to_string(taken)), 0) << "it was refused";
+  EXPECT_EQ(finals, "");
+}
+
 // ---- The configuration. ----
 TEST_F(RelayTest, ABadConfigurationIsOneLineAndAnExit) {
   members = member("s-1", endpoint.address());
@@ -362,6 +388,22 @@
   EXPECT_NE(without("{\"name\"", "{{").find("config"), std::string::npos);
 }
 
+// Many clients that stay connected must not shut out the next one, nor use up the descriptors.
+class FewSocketsTest : public RelayTest {
+ protected:
+  std::string limits() override { return R"({"cores":1.0,"memory_mb":192,"sockets":64,"disk_mb":3})"; }
+};
+TEST_F(FewSocketsTest, IdleClientsMakeRoomForNewOnes) {
+  start();
+  for (int i = 0; i < 60; i++) ASSERT_NE(connect(), nullptr);
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return !endpoint.got.empty(); }, "the call");
+  std::size_t descriptors = 0;
+  for (const auto& f : std::filesystem::directory_iterator("/proc/" + std::to_string(child) + "/fd"))
+    descriptors += !f.path().empty();
+  EXPECT_LE(descriptors, 56u);
+}
+
 // The journal fills with large bodies: clients are refused, and served again once there is room.
 class SmallDiskTest : public RelayTest {
  protected:
