--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -366,11 +366,11 @@
 
 // A kept connection that becomes readable was closed by the endpoint, or holds what nobody asked for.
 void Calls::watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint) {
-  connection->socket.async_wait(
-      tcp::socket::wait_read, [this, weak = std::weak_ptr(connection), endpoint](error_code bad) {
-        const auto readable = weak.lock();
-        if (!bad && readable) drop(endpoint, readable.get());
-      });
+  connection->socket.async_wait(tcp::socket::wait_read,
+                                [this, weak = std::weak_ptr(connection), endpoint](error_code bad) {
+                                  const auto readable = weak.lock();
+                                  if (!bad && readable) drop(endpoint, readable.get());
+                                });
 }
 
 void Calls::drop(const EndpointId& endpoint, const Connection* connection) {
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -33,9 +33,9 @@
 struct CallLimits {
   std::size_t slots = 1;  // calls out at once
   Time connect_timeout = 0;
-  Time idle = 0;             // endpoints close connections that were idle for so long
+  Time idle = 0;              // endpoints close connections that were idle for so long
   std::size_t kept_most = 0;  // idle connections to all endpoints
-  bool reports = false;      // answers may hold load reports
+  bool reports = false;       // answers may hold load reports
 };
 
 class Calls {
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -124,14 +124,15 @@
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
-    http::async_read_header(socket_, buffer_, *parser_, [self = shared_from_this()](error_code bad, std::size_t) {
-      if (self->closed_) return;
-      if (bad) return self->unreadable(bad);
-      if (beast::iequals(self->parser_->get()[http::field::expect], "100-continue"))
-        self->go_on();
-      else
-        self->read_body();
-    });
+    http::async_read_header(socket_, buffer_, *parser_,
+                            [self = shared_from_this()](error_code bad, std::size_t) {
+                              if (self->closed_) return;
+                              if (bad) return self->unreadable(bad);
+                              if (beast::iequals(self->parser_->get()[http::field::expect], "100-continue"))
+                                self->go_on();
+                              else
+                                self->read_body();
+                            });
   }
   void go_on() {
     const auto go = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
@@ -165,7 +166,8 @@
     const auto& request = parser_->get();
     close_after_ = !request.keep_alive();
     if (request.target() == "/_health") {
-      if (request.method() != http::verb::get && request.method() != http::verb::head) return answer({405, 0});
+      if (request.method() != http::verb::get && request.method() != http::verb::head)
+        return answer({405, 0});
       return answer({intake_.ready_() ? 200u : 503u, 0});
     }
     // The class is the first part of the path.
@@ -264,9 +266,9 @@
     }
     // One that stands between requests may be closed; one with a request would lose its message.
     if (sessions_.size() >= most_clients_) {
-      const auto longest = std::min_element(sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
-        return a->idle_since() < b->idle_since();
-      });
+      const auto longest =
+          std::min_element(sessions_.begin(), sessions_.end(),
+                           [](const auto& a, const auto& b) { return a->idle_since() < b->idle_since(); });
       (*longest)->drain();
     }
     if (sessions_.size() >= most_clients_) {
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -114,8 +114,7 @@
   std::string all = framed(take_record(id, h.message));
   for (std::size_t i = 0; i < h.attempts.size(); i++) {
     all += framed(sent_record(id, h.attempts[i]));
-    if (h.attempts[i].outcome)
-      all += framed(outcome_record(id, static_cast<int>(i), *h.attempts[i].outcome));
+    if (h.attempts[i].outcome) all += framed(outcome_record(id, static_cast<int>(i), *h.attempts[i].outcome));
   }
   if (h.ending) all += framed(ending_record(id, *h.ending));
   return all;
@@ -133,8 +132,8 @@
 }  // namespace
 
 bool Attempt::may_have_run() const {
-  return !outcome || !(*outcome == Outcome::full || *outcome == Outcome::connect_failed ||
-                       *outcome == Outcome::not_sent);
+  return !outcome ||
+         !(*outcome == Outcome::full || *outcome == Outcome::connect_failed || *outcome == Outcome::not_sent);
 }
 
 Journal::Journal(const std::string& folder, std::uint64_t limit_bytes)
@@ -296,8 +295,7 @@
 
 bool Journal::commit() {
   if (pending_.empty() && next_pending_.empty()) return true;
-  const std::uint64_t after =
-      on_disk(size_ + pending_.size()) + on_disk(next_size_ + next_pending_.size());
+  const std::uint64_t after = on_disk(size_ + pending_.size()) + on_disk(next_size_ + next_pending_.size());
   if (after > limit_) return false;
   try {
     if (!pending_.empty()) write_file(file_, size_, pending_);
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -91,7 +91,7 @@
   std::uint64_t limit_ = 0;
   int file_ = -1, next_ = -1;
   std::uint64_t size_ = 0, next_size_ = 0;
-  MessageId copied_ = 0;       // up to here the second file has everything
+  MessageId copied_ = 0;        // up to here the second file has everything
   std::uint64_t reserved_ = 0;  // cost of all that is held
   std::uint64_t dropped_ = 0;
   std::string pending_, next_pending_;
--- a/relay/members.cpp
+++ b/relay/members.cpp
@@ -32,10 +32,10 @@
     as_object(e, where);
     Member m;
     m.endpoint.id = get(e, "name", where, as_text);
-    m.endpoint.listing = word<Listing>(
-        get(e, "status", where, as_text),
-        {{"ready", Listing::active}, {"draining", Listing::draining}, {"gone", Listing::gone}},
-        where + ".status");
+    m.endpoint.listing =
+        word<Listing>(get(e, "status", where, as_text),
+                      {{"ready", Listing::active}, {"draining", Listing::draining}, {"gone", Listing::gone}},
+                      where + ".status");
     m.endpoint.destination = get(e, "group", where, as_integer);
     m.endpoint.zone = position(names.zones, get(e, "zone", where, as_text, ""));
     m.endpoint.kind = position(names.kinds, get(e, "type", where, as_text, ""));
--- a/relay/peers.cpp
+++ b/relay/peers.cpp
@@ -30,9 +30,10 @@
 
 void Peers::tell(int whom, const std::string& body) {
   if (body.size() > kMostNote) return log("note to a peer: too long, not sent");
-  const auto to = whom < 0                                            ? all_
-                  : static_cast<std::size_t>(whom) < peers_.size() ? std::optional(peers_[static_cast<std::size_t>(whom)])
-                                                                      : std::nullopt;
+  const auto to = whom < 0 ? all_
+                  : static_cast<std::size_t>(whom) < peers_.size()
+                      ? std::optional(peers_[static_cast<std::size_t>(whom)])
+                      : std::nullopt;
   error_code lost;  // as any note may be
   if (to) socket_.send_to(net::buffer(body), *to, 0, lost);
 }
--- a/relay/peers.hpp
+++ b/relay/peers.hpp
@@ -1,10 +1,10 @@
 // Notes between relays: datagrams of up to 256 bytes, late or lost.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <array>
 #include <functional>
 #include <optional>
 #include <string>
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -30,9 +30,7 @@
 }  // namespace
 
 struct Platform::Query {
-  Query(net::io_context& io, bool f) : follow(f), socket(io), timer(io) {
-    parser.body_limit(boost::none);
-  }
+  Query(net::io_context& io, bool f) : follow(f), socket(io), timer(io) { parser.body_limit(boost::none); }
   bool follow, over = false;
   tcp::socket socket;
   net::steady_timer timer;
@@ -53,8 +51,9 @@
   http::response<http::string_body> response;
 };
 
-Platform::Platform(net::io_context& io, const tcp::endpoint& address, const cedarplank::adapter::Tables& names,
-                   std::int64_t index, Listed listed, Failed failed, Noticed noticed)
+Platform::Platform(net::io_context& io, const tcp::endpoint& address,
+                   const cedarplank::adapter::Tables& names, std::int64_t index, Listed listed, Failed failed,
+                   Noticed noticed)
     : io_(io),
       address_(address),
       names_(names),
@@ -108,26 +107,27 @@
 }
 
 void Platform::read(const std::shared_ptr<Query>& query) {
-  http::async_read_some(query->socket, query->buffer, query->parser, [this, query](error_code bad, std::size_t) {
-    if (query->over) return;
-    if (bad) return end(query, bad.message());
-    if (query->parser.is_header_done()) {
-      if (query->parser.get().result() != http::status::ok)
-        return end(query, "answered " + std::to_string(query->parser.get().result_int()));
-      query->text += query->parser.get().body();
-      query->parser.get().body().clear();
-      if (query->follow && query->text.find('\n') != std::string::npos) guard(query);
-      if (query->text.size() > kMostList) return end(query, "a list too long");
-      if (query->follow && !lines(*query)) return end(query, "a line that can't be read");
-      if (query->over) return;
-    }
-    if (!query->parser.is_done()) return read(query);
-    if (query->follow) return end(query, "ended");
-    if (!line(query->text)) return end(query, "a list that can't be read");
-    query->over = true;
-    query->timer.cancel();
-    fetch_.reset();
-  });
+  http::async_read_some(
+      query->socket, query->buffer, query->parser, [this, query](error_code bad, std::size_t) {
+        if (query->over) return;
+        if (bad) return end(query, bad.message());
+        if (query->parser.is_header_done()) {
+          if (query->parser.get().result() != http::status::ok)
+            return end(query, "answered " + std::to_string(query->parser.get().result_int()));
+          query->text += query->parser.get().body();
+          query->parser.get().body().clear();
+          if (query->follow && query->text.find('\n') != std::string::npos) guard(query);
+          if (query->text.size() > kMostList) return end(query, "a list too long");
+          if (query->follow && !lines(*query)) return end(query, "a line that can't be read");
+          if (query->over) return;
+        }
+        if (!query->parser.is_done()) return read(query);
+        if (query->follow) return end(query, "ended");
+        if (!line(query->text)) return end(query, "a list that can't be read");
+        query->over = true;
+        query->timer.cancel();
+        fetch_.reset();
+      });
 }
 
 // Takes the whole lines that have come.
@@ -205,12 +205,13 @@
     http::async_write(*post->socket, post->request, [this, post](error_code unsent, std::size_t) {
       if (post->over) return;
       if (unsent) return posted(post, unsent.message());
-      http::async_read(*post->socket, post->buffer, post->response, [this, post](error_code failed, std::size_t) {
-        if (post->over) return;
-        if (failed) return posted(post, failed.message());
-        const auto status = post->response.result_int();
-        posted(post, status == 204 ? "" : "answered " + std::to_string(status));
-      });
+      http::async_read(*post->socket, post->buffer, post->response,
+                       [this, post](error_code failed, std::size_t) {
+                         if (post->over) return;
+                         if (failed) return posted(post, failed.message());
+                         const auto status = post->response.result_int();
+                         posted(post, status == 204 ? "" : "answered " + std::to_string(status));
+                       });
     });
   };
   if (kept_) {
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -27,9 +27,9 @@
            Noticed noticed);
   ~Platform();
 
-  void watch();    // changes from now on; `failed` tells its end
+  void watch();  // changes from now on; `failed` tells its end
   void unwatch();
-  void fetch();    // the whole list, once
+  void fetch();  // the whole list, once
   // Sent until the platform has it; `noticed` tells when.
   void notice(MessageId id, const std::string& wire_id, const Ending& ending);
   bool notices_owed() const { return !owed_.empty(); }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -64,7 +64,9 @@
   const auto& s = config.settings;
   if (s.peers && config.peer_listen)
     peers_.emplace(io, *config.peer_listen, config.peers, config.peers_all, s.rank,
-                   [this](int from, std::string body) { happened(event::PeerNote{from, std::move(body)}); });
+                   [this](int from, std::string body) {
+                     happened(event::PeerNote{from, std::move(body)});
+                   });
   for (const auto& m : config.known.members) {
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
@@ -252,7 +254,8 @@
   if (held == journal_.held().end() || held->second.ending) return;
   const auto& h = held->second;
   const int zone = endpoint == endpoints_.end() ? -1 : endpoint->second.zone;
-  const auto kind = endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
+  const auto kind =
+      endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
   const auto& kinds = config_.settings.kinds;
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
   Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body};
@@ -272,8 +275,8 @@
   const auto held = journal_.held().find(id);
   if (held == journal_.held().end() || held->second.ending) return;
   if (const auto waiting = unanswered_.find(id); waiting != unanswered_.end()) {
-    plan.answers.push_back({0, std::move(waiting->second),
-                            ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
+    plan.answers.push_back(
+        {0, std::move(waiting->second), ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
     unanswered_.erase(waiting);
     return over(id);
   }
@@ -319,7 +322,8 @@
       if (journal_.held().count(m.id) > 0) return false;
       // Withdrawn while its records could not be written.
       event::AttemptEnded e;
-      e.id = m.id, e.attempt = m.attempt, e.endpoint = endpoint, e.outcome = Outcome::not_sent, e.closed = true;
+      e.id = m.id, e.attempt = m.attempt, e.endpoint = endpoint, e.outcome = Outcome::not_sent,
+      e.closed = true;
       happened(e);
       return true;
     });
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -14,7 +14,8 @@
 
 class JournalTest : public ::testing::Test {
  protected:
-  JournalTest() : folder((fs::temp_directory_path() / ("journal-test-" + std::to_string(::getpid()))).string()) {
+  JournalTest()
+      : folder((fs::temp_directory_path() / ("journal-test-" + std::to_string(::getpid()))).string()) {
     fs::remove_all(folder);
     fs::create_directories(folder);
   }
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -47,8 +47,8 @@
     net::write(socket, net::buffer(bytes), ignored);
   }
   void answer(unsigned status, const std::string& headers = "", const std::string& body = "") {
-    write("HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers + "Content-Length: " +
-          std::to_string(body.size()) + "\r\n\r\n" + body);
+    write("HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
   void close() {
     error_code ignored;
@@ -94,15 +94,16 @@
   }
   void read(const std::shared_ptr<Session>& session) {
     const auto request = std::make_shared<Request>();
-    http::async_read(session->socket, session->buffer, *request, [this, session, request](error_code bad, auto) {
-      if (bad) {
-        session->ended = true;
-        return;
-      }
-      got.push_back({*request, session});
-      handler_(got.back());
-      read(session);
-    });
+    http::async_read(session->socket, session->buffer, *request,
+                     [this, session, request](error_code bad, auto) {
+                       if (bad) {
+                         session->ended = true;
+                         return;
+                       }
+                       got.push_back({*request, session});
+                       handler_(got.back());
+                       read(session);
+                     });
   }
   tcp::acceptor acceptor_;
   Handler handler_;
@@ -139,9 +140,9 @@
 
 class RelayTest : public ::testing::Test {
  protected:
-  RelayTest()
-      : endpoint(io, answer_ok), platform(io, [this](const Got& g) { on_platform(g); }) {
-    const auto base = std::filesystem::temp_directory_path() / ("heronvane-test-" + std::to_string(::getpid()));
+  RelayTest() : endpoint(io, answer_ok), platform(io, [this](const Got& g) { on_platform(g); }) {
+    const auto base =
+        std::filesystem::temp_directory_path() / ("heronvane-test-" + std::to_string(::getpid()));
     folder = base.string();
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder + "/state");
@@ -171,8 +172,8 @@
            R"(","group":7,"status":")" + status + R"(","weight":1.0,"since_ms":0})";
   }
   std::string list(const std::string& entries, bool whole = true) {
-    return R"({"index":41,"snapshot":)" + std::string(whole ? "true" : "false") + R"(,"endpoints":[)" + entries +
-           "]}";
+    return R"({"index":41,"snapshot":)" + std::string(whole ? "true" : "false") + R"(,"endpoints":[)" +
+           entries + "]}";
   }
   std::string config() {
     const std::string own = own_address() + ":" + std::to_string(port);
@@ -229,8 +230,8 @@
   static std::string request(const std::string& id, const std::string& cls, const std::string& body = "hello",
                              const std::string& deadline = "6000m") {
     return "POST /" + cls + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: " + cls +
-           "\r\nX-Deadline: " + deadline + "\r\nX-Consignee: dest=7\r\nContent-Length: " +
-           std::to_string(body.size()) + "\r\n\r\n" + body;
+           "\r\nX-Deadline: " + deadline +
+           "\r\nX-Consignee: dest=7\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
   unsigned ask(const std::string& bytes) {
     const auto client = connect();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -70,7 +70,7 @@
   EXPECT_EQ(hand_in("m1", kSafe, "x", "-5m"), 400u);
   EXPECT_EQ(hand_in("m1", kSafe, std::string(65 * 1024, 'x')), 413u);
   EXPECT_EQ(ask("GET /_health HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), 400u);
-  connect()->write("POST /load-status HT");           // a slow one, never done
+  connect()->write("POST /load-status HT");  // a slow one, never done
   const auto half = connect();
   half->write(request("m2", kSafe).substr(0, 80));
   half->end_sending();
@@ -381,7 +381,8 @@
     return log;
   };
   EXPECT_NE(without("\"seed\"", "\"sead\"").find("config.seed"), std::string::npos);
-  EXPECT_NE(without("\"disk_mb\":3", "\"disk_mb\":\"much\"").find("config.limits.disk_mb"), std::string::npos);
+  EXPECT_NE(without("\"disk_mb\":3", "\"disk_mb\":\"much\"").find("config.limits.disk_mb"),
+            std::string::npos);
   EXPECT_NE(without("\"Workers\":8", "\"Workers\":0").find("slots"), std::string::npos);
   EXPECT_NE(without("\"Workers\":8", "\"Walkers\":8").find("FamilyInfo.Workers"), std::string::npos);
   EXPECT_NE(without("\"name\":\"s-1\"", "\"name\":1").find("known.endpoints.name"), std::string::npos);
