--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -162,7 +162,7 @@
            R"("Deadline":24000000,"Idempotency":"non_idempotent","LateWorth":0.3}],)"
            R"("FamilyInfo":{"Workers":8,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
            R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
-           R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"ConnIdle":5000000,)"
+           R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"Peers":true,"ConnIdle":5000000,)"
            R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":"subscribe","GroupSize":1,)"
            R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":5000})";
   }
@@ -179,7 +179,7 @@
     const std::string own = own_address() + ":" + std::to_string(port);
     return R"({"name":"n0","listen":")" + own + R"(","discovery":")" + platform.address() +
            R"(","seed":"8c1f30d27a5be964","limits":)" + limits() + R"(,"known":)" + list(members) +
-           R"(,"settings":)" + settings() + "}";
+           R"(,"settings":)" + settings() + more + "}";
   }
   void spawn(const std::string& text) {
     std::ofstream(folder + "/config.json") << text;
@@ -279,6 +279,7 @@
   Server endpoint, platform;
   std::string folder, members, finals;
   std::uint16_t port = 0;
+  std::string more;  // further members of the configuration
   pid_t child = -1;
   rlim_t largest_file = 0;  // that the program may write; 0: any
   unsigned finals_status = 204;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -367,6 +367,37 @@
   EXPECT_EQ(finals, "");
 }
 
+// ---- Notes between relays. ----
+// A refusal is told to the others; what a stranger sends, or makes no sense, or is too long, changes nothing.
+TEST_F(RelayTest, NotesGoToPeersAndGarbageIsDropped) {
+  using udp = net::ip::udp;
+  const auto here = net::ip::make_address(own_address());
+  udp::socket peer(io, {here, 0}), everyone(io, {here, 0}), stranger(io, {here, 0}), probe(io, {here, 0});
+  const auto own = probe.local_endpoint();
+  probe.close();
+  const auto text = [](const udp::endpoint& e) {
+    return "\"" + e.address().to_string() + ":" + std::to_string(e.port()) + "\"";
+  };
+  more = ",\"peer_listen\":" + text(own) + ",\"peers\":[" + text(own) + "," + text(peer.local_endpoint()) +
+         "],\"peers_all\":" + text(everyone.local_endpoint());
+  int calls = 0;
+  endpoint.on_request([&](const Got& g) { g.session->answer(++calls == 1 ? 503 : 200); });
+  start();
+  for (auto* from : {&peer, &stranger})
+    for (const std::string& note :
+         {std::string(""), std::string("1rno-such-endpoint"), std::string(400, '\xff')})
+      from->send_to(net::buffer(note), own);
+  std::array<char, 300> note{};
+  std::size_t size = 0;
+  udp::endpoint from;
+  everyone.async_receive_from(net::buffer(note), from, [&](error_code, std::size_t n) { size = n; });
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return size > 0; }, "the note");
+  EXPECT_EQ(std::string(note.data(), size), "1rs-1");
+  EXPECT_EQ(from, own);
+  wait_for([&] { return calls == 2; }, "the call is made again");
+}
+
 // ---- The configuration. ----
 TEST_F(RelayTest, ABadConfigurationIsOneLineAndAnExit) {
   members = member("s-1", endpoint.address());
