--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,23 +1,47 @@
 // heronvane: one relay on real sockets. LB_CONFIG names its configuration, LB_STATE the folder that lasts.
+// SIGTERM and SIGINT drain and end it, SIGHUP has the configuration read again.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <exception>
+#include <functional>
 
 #include "config.hpp"
 #include "log.hpp"
 #include "relay.hpp"
 
+namespace {
+
+// A file that can't be read changes nothing.
+void reload(heronvane::Relay& relay) {
+  try {
+    relay.reconfigure(heronvane::load_config());
+  } catch (const std::exception& e) {
+    heronvane::log(std::string("configuration: the old one stays: ") + e.what());
+  }
+}
+
+}  // namespace
+
 int main() {
   try {
     std::signal(SIGPIPE, SIG_IGN);
-    const heronvane::Config config = heronvane::load_config();
     boost::asio::io_context io(1);
+    // Before anything slow: a signal that comes while the journal is read waits for the loop.
+    boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
+    const heronvane::Config config = heronvane::load_config();
     heronvane::Relay relay(io, config);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](boost::system::error_code bad, int) {
+    ends.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) relay.stop([&io] { io.stop(); });
     });
+    const std::function<void()> await_reload = [&] {
+      reloads.async_wait([&](boost::system::error_code bad, int) {
+        if (bad) return;
+        reload(relay);
+        await_reload();
+      });
+    };
+    await_reload();
     io.run();
     return 0;
   } catch (const std::exception& e) {
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -66,19 +66,43 @@
 Platform::~Platform() = default;
 
 // ---- The list. ----
-void Platform::watch() { ask(true); }
+void Platform::watch() { following_ = true, ask(true); }
 void Platform::fetch() { ask(false); }
-void Platform::unwatch() {
-  if (!watch_) return;
-  watch_->over = true;
+void Platform::unwatch() { following_ = false, drop(watch_); }
+
+void Platform::drop(std::shared_ptr<Query>& query) {
+  if (!query) return;
+  query->over = true;
   error_code ignored;
-  watch_->socket.close(ignored);
-  watch_->timer.cancel();
-  watch_.reset();
+  query->socket.close(ignored);
+  query->timer.cancel();
+  query.reset();
+}
+
+void Platform::move(const tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  index_ = 0;  // the new one may count anew: it is asked for all
+  const bool fetching = fetch_ != nullptr;
+  drop(fetch_);
+  if (fetching) fetch();
+  // Also where the module pauses after a failure: that was the old one's.
+  if (following_) watch();
+  kept_.reset();
+  if (post_) {
+    post_->over = true;
+    post_->timer.cancel();
+    error_code ignored;
+    post_->socket->close(ignored);
+    post_.reset();
+  }
+  again_.cancel();
+  backoff_ = kFirstBackoff;
+  if (!owed_.empty()) post();
 }
 
 void Platform::ask(bool follow) {
-  if (follow) unwatch();
+  if (follow) drop(watch_);
   if (!follow && fetch_) return;
   const auto query = std::make_shared<Query>(io_, follow);
   (follow ? watch_ : fetch_) = query;
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -30,6 +30,9 @@
   void watch();  // changes from now on; `failed` tells its end
   void unwatch();
   void fetch();  // the whole list, once
+  // Discovery is found elsewhere from now on: what is under way at the old address begins again at the new
+  // one.
+  void move(const boost::asio::ip::tcp::endpoint& address);
   // Sent until the platform has it; `noticed` tells when.
   void notice(MessageId id, const std::string& wire_id, const Ending& ending);
   bool notices_owed() const { return !owed_.empty(); }
@@ -38,6 +41,7 @@
   struct Query;
   struct Post;
   void ask(bool follow);
+  void drop(std::shared_ptr<Query>& query);
   void read(const std::shared_ptr<Query>& query);
   bool lines(Query& query);
   bool line(const std::string& text);
@@ -59,6 +63,7 @@
   std::shared_ptr<boost::asio::ip::tcp::socket> kept_;
   boost::asio::steady_timer again_;
   bool waiting_ = false;
+  bool following_ = false;  // the module wants changes
   std::chrono::milliseconds backoff_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -36,6 +36,10 @@
   return limits;
 }
 
+std::string text_of(const net::ip::tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
 std::vector<cedarplank::Endpoint> endpoints_of(const MemberList& list) {
   std::vector<cedarplank::Endpoint> endpoints;
   for (const auto& m : list.members) endpoints.push_back(m.endpoint);
@@ -363,6 +367,12 @@
   });
 }
 
+// ---- A new configuration. ----
+void Relay::reconfigure(const Config& config) {
+  log("configuration read again: discovery at " + text_of(config.discovery));
+  platform_.move(config.discovery);
+}
+
 // ---- The end. ----
 void Relay::stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -27,6 +27,8 @@
   // Takes back what an earlier life left in the folder, then listens.
   Relay(boost::asio::io_context& io, const Config& config);
 
+  // Takes over what may change while the relay runs: where discovery is found.
+  void reconfigure(const Config& config);
   // Answers clients on, lets calls out come home, then calls `done`, within kDrainMost.
   void stop(std::function<void()> done);
 
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -175,9 +175,10 @@
     return R"({"index":41,"snapshot":)" + std::string(whole ? "true" : "false") + R"(,"endpoints":[)" +
            entries + "]}";
   }
-  std::string config() {
+  std::string config() { return config(platform.address()); }
+  std::string config(const std::string& discovery) {
     const std::string own = own_address() + ":" + std::to_string(port);
-    return R"({"name":"n0","listen":")" + own + R"(","discovery":")" + platform.address() +
+    return R"({"name":"n0","listen":")" + own + R"(","discovery":")" + discovery +
            R"(","seed":"8c1f30d27a5be964","limits":)" + limits() + R"(,"known":)" + list(members) +
            R"(,"settings":)" + settings() + more + "}";
   }
@@ -202,6 +203,12 @@
     spawn(config());
     wait_for([this] { return health() == 200; }, "the relay is ready");
   }
+  // Puts a new configuration in the old one's place and says so.
+  void reload(const std::string& text) {
+    std::ofstream(folder + "/config.new") << text;
+    std::filesystem::rename(folder + "/config.new", folder + "/config.json");
+    ::kill(child, SIGHUP);
+  }
   // Its exit status, or -1 where a signal ended it.
   int wait_exit() {
     int status = 0;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -396,6 +396,59 @@
   wait_for([&] { return calls == 2; }, "the call is made again");
 }
 
+// ---- New configurations. ----
+// Discovery moves under load: the list and the notices, one of them in flight, go to the new address at once,
+// whose index is lower than the old one's; what the new list does not name is gone.
+TEST_F(RelayTest, SighupMovesToAnotherDiscovery) {
+  bool silent = false;
+  std::string new_finals, asked;
+  Server other(io, answer_ok);
+  Server moved(io, [&](const Got& g) {
+    if (g.request.method() == http::verb::post) {
+      new_finals += g.request.body();
+      return g.session->answer(204);
+    }
+    asked = std::string(g.request.target());
+    g.session->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string line =
+        R"({"index":3,"snapshot":true,"endpoints":[)" + member("s-2", other.address()) + "]}\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    g.session->write(size + line + "\r\n");
+  });
+  endpoint.on_request([](const Got& g) { g.session->close(); });  // each unsafe message ends by a notice
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the first watch");
+  std::size_t in_flight = 0;
+  platform.on_request([&](const Got& g) {
+    if (!silent) return on_platform(g);
+    in_flight += g.request.method() == http::verb::post;
+  });
+  silent = true;
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return in_flight == 1; }, "a notice in flight");
+  reload(config(moved.address()));
+  wait_for([&] { return !new_finals.empty() && !asked.empty(); }, "both go to the new address");
+  EXPECT_EQ(new_finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(asked, "/catalog/members?follow=1&since=0");
+  wait_for([&] { return watches[0]->ended; }, "the old watch is closed");
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return other.got.size() == 1; }, "the call to the endpoint of the new list");
+  EXPECT_EQ(platform.sessions.size(), 2u) << "nothing new goes to the old address";
+}
+
+// A file that can't be read is one line in the log; service goes on with the old one, and the next is taken.
+TEST_F(RelayTest, SighupWithABadFileChangesNothing) {
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  reload("{\"name\":");
+  wait_for([&] { return logged().find("the old one stays") != std::string::npos; }, "the line in the log");
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(watches.size(), 1u);
+  EXPECT_FALSE(watches[0]->ended);
+}
+
 // ---- The configuration. ----
 TEST_F(RelayTest, ABadConfigurationIsOneLineAndAnExit) {
   members = member("s-1", endpoint.address());
