--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -55,6 +55,7 @@
   const int sockets = get(limits, "sockets", path + ".limits", as_int);
   if (sockets < 64) malformed(path + ".limits.sockets", "must be 64 or more");
   c.sockets = static_cast<std::size_t>(sockets);
+  c.memory_bytes = get(limits, "memory_mb", path + ".limits", whole_above_zero);
   // Taken as 10^6 bytes, the smaller of the two readings of a megabyte.
   c.disk_bytes = get(limits, "disk_mb", path + ".limits", whole_above_zero);
   if (const Value* p = find(v, "peer_listen"))
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -17,7 +17,8 @@
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::string state_folder;
   std::uint64_t seed = 0;
-  std::size_t sockets = 0;       // file descriptors that the process may hold
+  std::size_t sockets = 0;  // file descriptors that the process may hold
+  std::uint64_t memory_bytes = 0;
   std::uint64_t disk_bytes = 0;  // that the state folder may hold
   std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
   std::vector<boost::asio::ip::udp::endpoint> peers;  // by rank
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -3,12 +3,13 @@
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <cstdio>
 #include <limits>
 #include <optional>
+#include <utility>
+#include <vector>
 
-#include "log.hpp"
+#include "request.hpp"
 
 namespace heronvane {
 
@@ -20,45 +21,21 @@
 
 namespace {
 
-constexpr std::uint64_t kMostBody = 64 * 1024;
-constexpr std::uint32_t kMostHeader = 16 * 1024;
-constexpr std::size_t kMostId = 256;
-constexpr auto kIdleTime = std::chrono::minutes(2);      // between requests
-constexpr auto kRequestTime = std::chrono::seconds(10);  // for one request to come, or its answer to go
-constexpr auto kLingerTime = std::chrono::seconds(1);    // for the rest of a request that was turned down
+// From a client's connecting until its first request has come, and from the first byte of a later one. Guards
+// against half requests and silent crowds, which would hold descriptors.
+constexpr auto kRequestTime = std::chrono::milliseconds(2500);
+constexpr auto kAnswerTime = std::chrono::seconds(2);  // for an answer to go
+constexpr auto kIdleTime = std::chrono::seconds(60);   // between requests, while there is room
+constexpr Time kIdleLeast = 2'000'000;                 // and while it is short
+constexpr auto kLingerTime = std::chrono::seconds(1);  // for the rest of a request that was turned down
+constexpr std::size_t kLingerBytes = 1 << 20;
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
-constexpr Time kLongest = 24 * 3'600'000'000LL;
-
-template <class T>
-std::optional<T> number(beast::string_view text) {
-  T v{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), v);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return v;
-}
-
-// "480m" milliseconds, "250000u" microseconds
-std::optional<Time> duration(beast::string_view text) {
-  if (text.size() < 2) return std::nullopt;
-  const char unit = text.back();
-  const auto v = number<double>(text.substr(0, text.size() - 1));
-  if (!v || !(*v >= 0) || (unit != 'm' && unit != 'u')) return std::nullopt;
-  const double us = *v * (unit == 'm' ? 1000 : 1);
-  return us > static_cast<double>(kLongest) ? kLongest : static_cast<Time>(us);
-}
-
-// The value of `dest` in "dest=7" or "a=1; dest=7".
-std::optional<std::int64_t> destination(beast::string_view text) {
-  while (!text.empty()) {
-    const auto end = std::min(text.find_first_of(";,"), text.size());
-    auto field = text.substr(0, end);
-    while (!field.empty() && field.front() == ' ') field.remove_prefix(1);
-    while (!field.empty() && field.back() == ' ') field.remove_suffix(1);
-    if (field.starts_with("dest=")) return number<std::int64_t>(field.substr(5));
-    text.remove_prefix(std::min(end + 1, text.size()));
-  }
-  return std::nullopt;
-}
+// Where three quarters of the connections are in use, room is short.
+constexpr std::size_t kShortOf = 4, kShort = 3;
+constexpr std::size_t kRoomTries = 4;         // connections looked at to make room for one
+constexpr Time kUnusedFirst = 3'600'000'000;  // ranks those without a whole request before the rest
+constexpr Time kNever = std::numeric_limits<Time>::max();
+constexpr Time kComeBack = 500'000;  // what was turned away for want of room may come again
 
 std::string seconds_text(Time t) {
   char text[32];
@@ -73,31 +50,31 @@
   Session(Intake& intake, tcp::socket socket)
       : intake_(intake), socket_(std::move(socket)), timer_(intake.io_) {}
 
-  bool idle() const { return idle_; }
-  Time idle_since() const { return idle_ ? idle_since_ : std::numeric_limits<Time>::max(); }
-
-  void next() {
-    if (buffer_.size() > 0) return read_header();
-    if (intake_.draining_) return close();
-    wait();
+  bool idle() const { return stage_ == Stage::idle; }
+  // Since when it could be closed for want of room, the earlier the sooner: those that were turned down
+  // first, then those that never brought a whole request, then idle ones. kNever: its message would be lost.
+  Time spare_since() const {
+    if (stage_ == Stage::lingering) return -kNever;
+    if (stage_ == Stage::answering) return kNever;
+    return used_ ? since_ : since_ - kUnusedFirst;
   }
+  // Idle for so long that it may be closed when room is short.
+  bool stale(Time now) const { return idle() && used_ && now >= since_ + kIdleLeast; }
 
-  // The first request of a new connection is waited for while draining too: it may be on the way.
-  void wait() {
-    idle_ = true;
-    idle_since_ = steady_now();
-    limit(kIdleTime);
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
-      self->idle_ = false;
-      if (bad || self->closed_) return self->close();
-      self->read_header();
-    });
+  void start() {
+    since_ = steady_now();
+    limit(kRequestTime);
+    wait();
   }
-
   // Closes if no request has begun; one that has begun is answered first.
   void drain() {
-    error_code bad;
-    if (idle_ && socket_.available(bad) == 0) close();
+    if (idle() && !has_bytes()) close();
+  }
+  // Closes for want of room; false if a request has just come.
+  bool make_room() {
+    if (has_bytes() && stage_ != Stage::lingering) return false;
+    close();
+    return true;
   }
 
   void close() {
@@ -107,20 +84,56 @@
     timer_.cancel();
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
+    release();
     intake_.sessions_.erase(shared_from_this());
   }
 
  private:
+  enum class Stage { idle, reading, answering, lingering };
+
+  bool has_bytes() const {
+    error_code bad;
+    return socket_.available(bad) > 0;
+  }
   template <class Duration>
   void limit(Duration time) {
     timer_.expires_after(time);
     timer_.async_wait([self = shared_from_this()](error_code bad) {
-      if (!bad) self->close();
+      if (bad || self->closed_) return;
+      if (!self->idle()) self->intake_.tally_.add("half a request");
+      self->close();
+    });
+  }
+
+  void next() {
+    used_ = true;
+    since_ = steady_now();
+    parser_.reset();
+    release();
+    if (buffer_.size() > 0) {
+      limit(kRequestTime);
+      return read_header();
+    }
+    buffer_ = Buffer(kMostHeader + kMostBody);  // an idle connection holds no memory
+    if (intake_.draining_) return close();
+    limit(kIdleTime);
+    wait();
+  }
+
+  // The first request of a new connection is waited for while draining too: it may be on the way.
+  void wait() {
+    stage_ = Stage::idle;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
+      if (bad || self->closed_) return self->close();
+      // The first request's time has run since the connection came.
+      if (self->used_) self->limit(kRequestTime);
+      self->since_ = steady_now();
+      self->read_header();
     });
   }
 
   void read_header() {
-    limit(kRequestTime);
+    stage_ = Stage::reading;
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
@@ -128,7 +141,10 @@
                             [self = shared_from_this()](error_code bad, std::size_t) {
                               if (self->closed_) return;
                               if (bad) return self->unreadable(bad);
-                              if (beast::iequals(self->parser_->get()[http::field::expect], "100-continue"))
+                              const auto& head = self->parser_->get();
+                              if (!framing_certain(head)) return self->turn_down(400, "framing in doubt");
+                              if (!self->reserve()) return self->turn_down(503, "no memory for its body");
+                              if (beast::iequals(head[http::field::expect], "100-continue"))
                                 self->go_on();
                               else
                                 self->read_body();
@@ -150,50 +166,48 @@
     });
   }
 
+  // All bodies that are being read together stay under a part of the memory. Guards against many clients that
+  // bring large bodies slowly.
+  bool reserve() {
+    const auto length = parser_->content_length();
+    const std::size_t more = length ? static_cast<std::size_t>(*length) : parser_->chunked() ? kMostBody : 0;
+    if (intake_.body_bytes_ + more > intake_.limits_.body_bytes) return false;
+    intake_.body_bytes_ += more, reserved_ += more;
+    return true;
+  }
+  void release() { intake_.body_bytes_ -= std::exchange(reserved_, 0); }
+
   // Half a request, by a client that left, is nobody's; one that can't be read is answered.
   void unreadable(error_code bad) {
     const bool left = bad == http::error::end_of_stream || bad == http::error::partial_message ||
                       bad.category() == net::error::get_system_category() ||
                       bad.category() == net::error::get_misc_category();
     if (left) return close();
-    log("client request turned down: " + bad.message());
-    close_after_ = true;
-    answer({bad == http::error::body_limit ? 413u : 400u, 0});
+    turn_down(bad == http::error::body_limit ? 413 : 400, "can't be read");
+  }
+  // Nothing behind it is read as a request.
+  void turn_down(unsigned status, const char* why) {
+    intake_.tally_.add(why);
+    stage_ = Stage::answering;
+    close_after_ = doubtful_ = true;
+    answer({status, status == 503 ? kComeBack : 0});
   }
 
   void handle() {
+    stage_ = Stage::answering;
     timer_.cancel();
-    const auto& request = parser_->get();
+    auto& request = parser_->get();
     close_after_ = !request.keep_alive();
     if (request.target() == "/_health") {
       if (request.method() != http::verb::get && request.method() != http::verb::head)
-        return answer({405, 0});
+        return turn_down(405, "unknown method");
       return answer({intake_.ready_() ? 200u : 503u, 0});
     }
-    // The class is the first part of the path.
-    auto path = request.target();
-    path = path.substr(0, path.find('?'));
-    if (path.starts_with('/')) path.remove_prefix(1);
-    path = path.substr(0, path.find('/'));
-    if (intake_.names_.classes.count(std::string(path)) == 0) return answer({404, 0});
-    if (request.method() != http::verb::post) return answer({405, 0});
-    Message m;
-    m.id = std::string(request["X-Request-Id"]);
-    const auto named = request["X-Class"];
-    m.message_class = std::string(named.empty() ? path : named);
-    m.tenant = std::string(request["X-Tenant"]);
-    m.repeat = request["X-Retry"] == "1";
-    const auto dest = destination(request["X-Consignee"]);
-    const auto left = duration(request["X-Deadline"]);
-    if (m.id.empty() || m.id.size() > kMostId || m.tenant.size() > kMostId || !dest || !left ||
-        m.message_class != std::string(path)) {
-      log("client request turned down: a header is missing or makes no sense");
-      return answer({400, 0});
-    }
-    m.destination = *dest;
-    m.deadline = wall_now() + *left;
-    m.body = std::move(parser_->get().body());
-    intake_.take_(std::move(m), [self = shared_from_this()](const Answer& a) { self->answer(a); });
+    Handed handed = read_message(request, intake_.settings_, intake_.names_);
+    if (handed.refused > 0) return turn_down(handed.refused, handed.why);
+    intake_.take_(std::move(handed.message), [self = shared_from_this()](const Answer& a) {
+      a.turned_down.empty() ? self->answer(a) : self->turn_down(a.status, a.turned_down.data());
+    });
   }
 
   void answer(const Answer& a) {
@@ -206,12 +220,15 @@
     close_after_ = close_after_ || intake_.draining_;
     response_.keep_alive(!close_after_);
     response_.prepare_payload();
-    limit(kRequestTime);
+    limit(kAnswerTime);
     http::async_write(socket_, response_, [self = shared_from_this()](error_code bad, std::size_t) {
       if (self->closed_) return;
       if (bad) return self->close();
       if (!self->close_after_) return self->next();
-      if (self->parser_->is_done()) return self->close();
+      if (!self->doubtful_) return self->close();
+      self->release();
+      self->parser_.reset();
+      self->stage_ = Stage::lingering;
       self->limit(kLingerTime);
       error_code ignored;
       self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -223,32 +240,39 @@
   void linger() {
     buffer_.clear();
     socket_.async_read_some(buffer_.prepare(kMostHeader),
-                            [self = shared_from_this()](error_code bad, std::size_t) {
+                            [self = shared_from_this()](error_code bad, std::size_t size) {
                               if (self->closed_) return;
-                              if (bad) return self->close();
+                              self->lingered_ += size;
+                              if (bad || self->lingered_ > kLingerBytes) return self->close();
                               self->linger();
                             });
   }
 
+  using Buffer = beast::flat_buffer;
   Intake& intake_;
   tcp::socket socket_;
   net::steady_timer timer_;
-  beast::flat_buffer buffer_{kMostHeader + kMostBody};
+  Buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::empty_body> response_;
-  Time idle_since_ = 0;
-  bool idle_ = false, closed_ = false, close_after_ = false;
+  Stage stage_ = Stage::idle;
+  Time since_ = 0;  // of being idle, or of reading
+  std::size_t reserved_ = 0, lingered_ = 0;
+  bool used_ = false;  // a whole request has come
+  bool closed_ = false, close_after_ = false, doubtful_ = false;
 };
 
-Intake::Intake(net::io_context& io, const tcp::endpoint& listen, const cedarplank::adapter::Tables& names,
-               std::size_t most_clients, Take take, Ready ready)
+Intake::Intake(net::io_context& io, const tcp::endpoint& listen, const cedarplank::Settings& settings,
+               const cedarplank::adapter::Tables& names, const IntakeLimits& limits, Take take, Ready ready)
     : io_(io),
       acceptor_(io, listen),
       pause_(io),
+      settings_(settings),
       names_(names),
-      most_clients_(most_clients),
+      limits_(limits),
       take_(std::move(take)),
-      ready_(std::move(ready)) {
+      ready_(std::move(ready)),
+      tally_(io, "clients turned down") {
   accept();
 }
 Intake::~Intake() = default;
@@ -264,28 +288,36 @@
         if (!stopped) accept();
       });
     }
-    // One that stands between requests may be closed; one with a request would lose its message.
-    if (sessions_.size() >= most_clients_) {
-      const auto longest =
-          std::min_element(sessions_.begin(), sessions_.end(),
-                           [](const auto& a, const auto& b) { return a->idle_since() < b->idle_since(); });
-      (*longest)->drain();
-    }
-    if (sessions_.size() >= most_clients_) {
-      if (!turned_away_) log("too many client connections: turning new ones away");
-      turned_away_ = true;
+    make_room();
+    if (sessions_.size() >= limits_.clients) {
+      tally_.add("no room for its connection");
     } else {
-      turned_away_ = false;
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       const auto session = std::make_shared<Session>(*this, std::move(socket));
       sessions_.insert(session);
-      session->wait();
+      session->start();
     }
     accept();
   });
 }
 
+// One that stands between requests may be closed, one with a request would lose its message.
+void Intake::make_room() {
+  if (sessions_.size() * kShortOf < limits_.clients * kShort) return;
+  const Time now = steady_now();
+  std::vector<std::pair<Time, std::shared_ptr<Session>>> spare;
+  for (const auto& session : sessions_) {
+    const Time since = session->spare_since();
+    if (since < kNever && (session->stale(now) || sessions_.size() >= limits_.clients))
+      spare.emplace_back(since, session);
+  }
+  const auto most = std::min(spare.size(), kRoomTries);
+  std::partial_sort(spare.begin(), spare.begin() + static_cast<std::ptrdiff_t>(most), spare.end());
+  for (std::size_t i = 0; i < most; i++)
+    if (spare[i].second->make_room()) return;
+}
+
 void Intake::drain() {
   draining_ = true;
   for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -7,18 +7,26 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string_view>
 
 #include "journal.hpp"
+#include "log.hpp"
 #include "settings.hpp"
 
 namespace heronvane {
 
 struct Answer {
   unsigned status = 202;
-  Time retry_after = 0;  // 0: none
+  Time retry_after = 0;               // 0: none
+  std::string_view turned_down = {};  // why the message makes no sense, where it makes none; a literal
 };
 using Reply = std::function<void(const Answer&)>;
 
+struct IntakeLimits {
+  std::size_t clients = 1;     // connections
+  std::size_t body_bytes = 0;  // of all bodies that are being read
+};
+
 class Intake {
  public:
   using Take = std::function<void(Message, Reply)>;
@@ -26,7 +34,8 @@
 
   // Listens at once. Each message goes to `take`, which answers by the reply, once, then or later.
   Intake(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
-         const cedarplank::adapter::Tables& names, std::size_t most_clients, Take take, Ready ready);
+         const cedarplank::Settings& settings, const cedarplank::adapter::Tables& names,
+         const IntakeLimits& limits, Take take, Ready ready);
   ~Intake();
 
   // From now on connections are closed once they stand between requests; new ones are still answered.
@@ -38,16 +47,19 @@
  private:
   class Session;
   void accept();
+  void make_room();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
+  const cedarplank::Settings& settings_;
   const cedarplank::adapter::Tables& names_;
-  std::size_t most_clients_;
+  IntakeLimits limits_;
   Take take_;
   Ready ready_;
   bool draining_ = false;
-  bool turned_away_ = false;  // said so in the log
+  std::size_t body_bytes_ = 0;
+  Tally tally_;
   std::set<std::shared_ptr<Session>> sessions_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <set>
 
 #include "log.hpp"
 
@@ -18,6 +17,10 @@
 
 // Shares of the descriptors: client connections, kept connections to endpoints. The rest is room to spare.
 constexpr std::size_t kClientPart = 2, kKeptPart = 4;
+// Share of the memory for bodies that are being read.
+constexpr std::size_t kBodyPart = 8;
+constexpr std::size_t kMostDestinations = 4096;  // remembered besides those that are listed
+constexpr Time kComeBack = 500'000;              // what found no room may come again after this
 constexpr auto kStallRetry = std::chrono::milliseconds(20);
 // After SIGTERM, whose SIGKILL comes no sooner than 3.7 s later: how long new connections may still come;
 // until when calls are begun; when the process ends, with calls out or not.
@@ -36,6 +39,12 @@
   return limits;
 }
 
+Time longest_deadline(const cedarplank::Settings& s) {
+  Time longest = 0;
+  for (const auto& c : s.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
 std::string text_of(const net::ip::tcp::endpoint& e) {
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
@@ -61,6 +70,7 @@
             for (const MessageId id : ids) over(id);
             settle();
           }),
+      recent_(longest_deadline(config.settings)),
       round_timer_(io),
       module_timer_(io),
       stall_timer_(io),
@@ -74,12 +84,14 @@
   for (const auto& m : config.known.members) {
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
+    destinations_.insert(m.endpoint.destination);
   }
   events_.push_back(event::ListWhole{endpoints_of(config.known), true});
   recover();
   round();
   intake_.emplace(
-      io, config.listen, config.names, config.sockets / kClientPart,
+      io, config.listen, config.settings, config.names,
+      IntakeLimits{config.sockets / kClientPart, config.memory_bytes / kBodyPart},
       [this](Message m, Reply reply) { arrive(std::move(m), std::move(reply)); }, [this] { return ready(); });
   log("listening as " + config.name);
 }
@@ -134,17 +146,35 @@
 
 // ---- What comes in. ----
 void Relay::arrive(Message message, Reply reply) {
-  // Handed in once more on a new connection, since the answer was lost: it is ours already.
-  if (numbers_.count(message.id) > 0) return reply({202, 0});
+  // Of one id at a time: what the first is told holds for all.
+  if (const auto first = twins_.find(message.id); first != twins_.end())
+    return first->second.push_back(std::move(reply));
+  // Handed in once more on a new connection, since the answer was lost: it is ours already. One that is over
+  // must not be sent again either.
+  if (numbers_.count(message.id) > 0 || recent_.has(message.id)) return reply({202, 0});
+  // Before discovery has told its list, an unknown destination may only be unknown yet.
+  if (destinations_.count(message.destination) == 0)
+    return list_told_ ? reply({404, 0, "unknown destination"}) : reply({503, kComeBack});
   const std::size_t open = arrived_.size() + journal_.open();
   if (open >= static_cast<std::size_t>(config_.settings.open_max) || unwritten_ ||
       !journal_.room_for(message, arrived_cost_))
-    return reply({503, 0});
+    return reply({503, kComeBack});
+  reply = shared(message.id, std::move(reply));
   arrived_cost_ += Journal::cost(message);
   arrived_.push_back({std::move(message), std::move(reply)});
   schedule();
 }
 
+// A reply that answers all that hand in this id until then.
+Reply Relay::shared(const std::string& id, Reply reply) {
+  twins_[id];
+  return [this, id, reply = std::move(reply)](const Answer& a) {
+    reply(a);
+    const auto twins = twins_.extract(id);
+    for (const auto& twin : twins.mapped()) twin(a);
+  };
+}
+
 void Relay::ended(const event::AttemptEnded& e) {
   if (e.closed)
     over(e.id);
@@ -175,7 +205,9 @@
   for (const auto& m : list.members) {
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
+    destinations_.insert(m.endpoint.destination);
   }
+  list_told_ = true;
   for (const auto& [id, e] : endpoints_) {
     if (e.listing == Listing::active) continue;
     calls_.hold_back(id);
@@ -183,6 +215,10 @@
     if (e.listing == Listing::gone) calls_.forget(id);
   }
   std::erase_if(endpoints_, [](const auto& entry) { return entry.second.listing == Listing::gone; });
+  if (destinations_.size() > kMostDestinations + endpoints_.size()) {
+    destinations_.clear();
+    for (const auto& [id, e] : endpoints_) destinations_.insert(e.destination);
+  }
   if (list.snapshot)
     happened(event::ListWhole{endpoints_of(list), false});
   else
@@ -206,10 +242,6 @@
   auto arrived = std::exchange(arrived_, {});
   arrived_cost_ = 0;
   for (auto& a : arrived) {
-    if (const auto twin = numbers_.find(a.message.id); twin != numbers_.end()) {
-      plan.answers.push_back({0, std::move(a.reply), {202, 0}});
-      continue;
-    }
     const MessageId id = next_number_++;
     numbers_[a.message.id] = id;
     events_.push_back(arrival(id, a.message));
@@ -282,15 +314,16 @@
     plan.answers.push_back(
         {0, std::move(waiting->second), ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
     unanswered_.erase(waiting);
-    return over(id);
+    return over(id, false);
   }
   journal_.ending(id, ending);
   plan.endings.push_back(id);
 }
 
-void Relay::over(MessageId id) {
+void Relay::over(MessageId id, bool was_taken_on) {
   const auto held = journal_.held().find(id);
   if (held == journal_.held().end()) return;
+  if (was_taken_on) recent_.add(held->second.message.id, steady_now());
   numbers_.erase(held->second.message.id);
   journal_.over(id);
 }
@@ -303,9 +336,9 @@
     // Their clients wait only so long: what stands in no record was not taken on.
     for (auto& plan : stalled_) {
       for (auto& a : plan.answers) {
-        a.reply({503, 0});
+        a.reply({503, kComeBack});
         if (a.id == 0) continue;
-        over(a.id);
+        over(a.id, false);
         happened(event::Withdrawn{a.id});
       }
       plan.answers.clear();
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +20,7 @@
 #include "journal.hpp"
 #include "peers.hpp"
 #include "platform.hpp"
+#include "recent.hpp"
 
 namespace heronvane {
 
@@ -63,7 +65,8 @@
   void decide(Plan& plan);
   void carry_out(Plan plan);
   void settle();
-  void over(MessageId id);
+  void over(MessageId id, bool was_taken_on = true);
+  Reply shared(const std::string& id, Reply reply);
   void send(Plan& plan, const cedarplank::action::Send& a);
   void finish(Plan& plan, MessageId id, const Ending& ending);
   void set_timer(Time after, std::uint64_t token);
@@ -85,6 +88,11 @@
   std::map<EndpointId, cedarplank::Endpoint> endpoints_;
   std::unordered_map<std::string, MessageId> numbers_;  // of the messages held, by the client's id
   std::map<MessageId, Reply> unanswered_;               // taken in this round
+  // Ids that wait for their answer, with those that handed the same one in meanwhile.
+  std::unordered_map<std::string, std::vector<Reply>> twins_;
+  RecentIds recent_;                     // taken on and over
+  std::set<std::int64_t> destinations_;  // that any list has named
+  bool list_told_ = false;               // by discovery, in this life
   MessageId next_number_ = 1;
   std::vector<Arrived> arrived_;
   std::uint64_t arrived_cost_ = 0;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -396,6 +396,84 @@
   wait_for([&] { return calls == 2; }, "the call is made again");
 }
 
+// ---- Bad clients. ----
+// Half a request, silence, heads without end: each is closed within 3 s of its connecting.
+TEST_F(RelayTest, BadClientsAreLetGoInTime) {
+  start();
+  const auto began = steady_clock::now();
+  std::vector<std::shared_ptr<Client>> bad;
+  for (const std::string& bytes :
+       {std::string(), std::string("POST /load-st"), std::string("POST /load-status HTTP/1.1\r\nX-A: b\r\n"),
+        request("m1", kSafe).substr(0, request("m1", kSafe).size() - 2),
+        std::string("POST /load-status HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab")}) {
+    bad.push_back(connect());
+    bad.back()->write(bytes);
+  }
+  wait_for([&] { return std::all_of(bad.begin(), bad.end(), [](const auto& c) { return c->ended; }); },
+           "all are closed");
+  EXPECT_LT(steady_clock::now() - began, milliseconds(2950));
+  EXPECT_EQ(hand_in("m2", kSafe), 202u);
+}
+
+// Unusable requests get an error and the connection's end; what stands behind them is not read as a request.
+TEST_F(RelayTest, NothingBehindABadRequestIsTakenOn) {
+  start();
+  wait_for([&] { return !watches.empty(); }, "the list is told");
+  wait_for([&] { return hand_in("m0", kSafe) == 202u; }, "service");
+  const std::string hidden = request("hidden", kUnsafe);
+  const std::string both =
+      "POST /load-status HTTP/1.1\r\nX-Request-Id: m1\r\nX-Deadline: 480m\r\n"
+      "X-Consignee: dest=7\r\nContent-Length: " +
+      std::to_string(hidden.size() + 5) + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  std::string elsewhere = request("m2", kSafe);
+  elsewhere.replace(elsewhere.find("dest=7"), 6, "dest=99");
+  for (const auto& first :
+       {both, elsewhere, request("m3", "no-such-class"), std::string("\x16\x03\x01\r\n\r\n")}) {
+    const auto client = connect();
+    client->write(first + hidden);
+    wait_for([&] { return client->ended; }, "the end");
+    ASSERT_EQ(client->answers.size(), 1u);
+    EXPECT_GE(client->answers[0].result_int(), 400u);
+    EXPECT_LT(client->answers[0].result_int(), 500u);
+  }
+  EXPECT_EQ(hand_in("m9", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() >= 2; }, "the calls");
+  EXPECT_EQ(endpoint.got.size(), 2u);
+}
+
+// Of two that hand in one id at once, the second is told what the first is told.
+TEST_F(RelayTest, TwinsShareOneAnswer) {
+  endpoint.on_request(stay_silent);
+  start();
+  std::vector<std::shared_ptr<Client>> pairs;
+  for (int i = 0; i < 120; i++) {
+    pairs.push_back(connect());
+    pairs.back()->write(request("m" + std::to_string(i / 2), kUnsafe, "x", "24000m"));
+  }
+  const auto told = [](const auto& c) { return c->answers.size() == 1; };
+  wait_for([&] { return std::all_of(pairs.begin(), pairs.end(), told); }, "all answers");
+  int refused = 0;
+  for (std::size_t i = 0; i < pairs.size(); i += 2) {
+    EXPECT_EQ(pairs[i]->answers[0].result_int(), pairs[i + 1]->answers[0].result_int()) << i;
+    refused += pairs[i]->answers[0].result_int() == 503;
+    EXPECT_EQ(pairs[i]->answers[0].result_int() == 503, pairs[i]->answers[0].count("Retry-After") == 1);
+  }
+  EXPECT_GT(refused, 0);
+}
+
+// The id of a message that is over: sent again it would take effect twice.
+TEST_F(RelayTest, AnIdThatIsOverIsNotSentAgain) {
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);  // by now the first one's answer is read
+  wait_for([&] { return endpoint.got.size() == 2; }, "the second call");
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  EXPECT_EQ(hand_in("m3", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() >= 3; }, "the third call");
+  EXPECT_EQ(endpoint.got[2].request["X-Request-Id"], "m3");
+}
+
 // ---- New configurations. ----
 // Discovery moves under load: the list and the notices, one of them in flight, go to the new address at once,
 // whose index is lower than the old one's; what the new list does not name is gone.
@@ -487,6 +565,26 @@
   EXPECT_LE(descriptors, 56u);
 }
 
+// Crowds that say nothing, or half a request, come on: usual clients, also ones that kept their connection,
+// are served among them.
+TEST_F(FewSocketsTest, SilentCrowdsDoNotShutOutUsualClients) {
+  start();
+  wait_for([&] { return hand_in("m", kSafe) == 202u; }, "service");
+  const auto usual = connect();
+  for (int i = 0; i < 200; i++) {
+    const auto silent = connect();
+    ASSERT_NE(silent, nullptr);
+    if (i % 2 == 0) silent->write("POST /load");
+    if (i % 40 != 39) continue;
+    const auto before = usual->answers.size();
+    usual->write(request("u" + std::to_string(i), kSafe));
+    wait_for([&] { return usual->answers.size() > before || usual->ended; }, "the usual client's answer");
+    ASSERT_FALSE(usual->ended);
+    EXPECT_EQ(usual->answers.back().result_int(), 202u);
+    EXPECT_EQ(hand_in("n" + std::to_string(i), kSafe), 202u);
+  }
+}
+
 // The journal fills with large bodies: clients are refused, and served again once there is room.
 class SmallDiskTest : public RelayTest {
  protected:
