Descriptors under one bound, unreadable notices, the whole list after a move

Seen: half of the descriptors for clients, a quarter for kept connections and calls out without a bound came on top (relay.cpp, kClientPart, kKeptPart). A test found that a fetched list always failed ('body limit exceeded'): Beast 1.74 takes body_limit(none) for 0 where a length is announced (platform.cpp, Query). A notice answered 400 was sent for ever with its batch. Now: clients and endpoint connections are halves of what is left after 24, kept ones make room for calls, Workers is cut to it; notices go one by one until the unreadable one is found and dropped; changes alone after a move make the whole list be fetched; lists and the configuration are parsed without recursion.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -152,6 +152,9 @@
 }
 
 void Calls::connect(const std::shared_ptr<Call>& call, const tcp::endpoint& address) {
+  // Calls out come first: kept connections make room for theirs.
+  while (out_.size() + kept_ > limits_.connections && drop_longest_idle()) {
+  }
   call->connection = std::make_shared<Connection>(io_);
   call->connection->address = address;
   arm(call);
@@ -376,7 +379,7 @@
   const auto found = places_.find(endpoint);
   if (found == places_.end()) return;
   Place& place = found->second;
-  if (connection->address != place.address || kept_ >= limits_.kept_most) return;
+  if (connection->address != place.address || out_.size() + kept_ >= limits_.connections) return;
   connection->idle_since = steady_now();
   place.idle.push_back(connection);
   if (kept_++ == 0) sweep();
@@ -405,6 +408,17 @@
   found->second.idle.clear();
 }
 
+bool Calls::drop_longest_idle() {
+  Place* longest = nullptr;
+  for (auto& [id, place] : places_)
+    if (!place.idle.empty() &&
+        (longest == nullptr || place.idle.front()->idle_since < longest->idle.front()->idle_since))
+      longest = &place;
+  if (longest == nullptr) return false;
+  longest->idle.erase(longest->idle.begin()), kept_--;
+  return true;
+}
+
 // Closes kept connections before their end comes; sleeps until the next is due.
 void Calls::sweep() {
   const Time now = steady_now(), most = static_cast<Time>(kKeptPart * static_cast<double>(limits_.idle));
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -35,9 +35,9 @@
 struct CallLimits {
   std::size_t slots = 1;  // calls out at once
   Time connect_timeout = 0;
-  Time idle = 0;              // endpoints close connections that were idle for so long
-  std::size_t kept_most = 0;  // idle connections to all endpoints
-  bool reports = false;       // answers may hold load reports
+  Time idle = 0;                // endpoints close connections that were idle for so long
+  std::size_t connections = 1;  // of calls out and kept ones together
+  bool reports = false;         // answers may hold load reports
 };
 
 class Calls {
@@ -82,6 +82,7 @@
   void watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint);
   void drop(const EndpointId& endpoint, const Connection* connection);
   void sweep();
+  bool drop_longest_idle();
 
   boost::asio::io_context& io_;
   CallLimits limits_;
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -3,6 +3,7 @@
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -15,6 +16,10 @@
 
 namespace {
 
+// Descriptors that are no connections of clients or to endpoints: standard streams, the event loop, signals,
+// the journal's files, discovery, datagrams, the one that listens; one that is turned away.
+constexpr std::size_t kOtherFiles = 24;
+
 boost::asio::ip::udp::endpoint udp(const std::string& text, const std::string& path) {
   const auto address = read_address(text, path);
   return {address.address(), address.port()};
@@ -36,7 +41,7 @@
 
 Config read_config(const std::string& json) {
   rapidjson::Document v;
-  v.Parse(json.data(), json.size());
+  v.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
   if (v.HasParseError())
     malformed("config", (std::string(rapidjson::GetParseError_En(v.GetParseError())) + " at byte " +
                          std::to_string(v.GetErrorOffset()))
@@ -54,7 +59,8 @@
   const Value& limits = as_object(need(v, "limits", path), path + ".limits");
   const int sockets = get(limits, "sockets", path + ".limits", as_int);
   if (sockets < 64) malformed(path + ".limits.sockets", "must be 64 or more");
-  c.sockets = static_cast<std::size_t>(sockets);
+  c.client_connections = (static_cast<std::size_t>(sockets) - kOtherFiles) / 2;
+  c.endpoint_connections = static_cast<std::size_t>(sockets) - kOtherFiles - c.client_connections;
   c.memory_bytes = get(limits, "memory_mb", path + ".limits", whole_above_zero);
   // Taken as 10^6 bytes, the smaller of the two readings of a megabyte.
   c.disk_bytes = get(limits, "disk_mb", path + ".limits", whole_above_zero);
@@ -68,6 +74,8 @@
   const Value& settings = need(v, "settings", path);
   c.settings = read_settings(settings, path + ".settings", c.names);
   cedarplank::validate(c.settings);
+  // However many calls may be out, each needs a descriptor.
+  c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
   if (const Value* report = find(settings, "Report"))
     c.reports_in_answers = get(*report, "How", path + ".settings.Report", as_text, "none") == "answers";
   if (const Value* known = find(v, "known")) c.known = read_members(*known, path + ".known", c.names);
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -17,7 +17,8 @@
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::string state_folder;
   std::uint64_t seed = 0;
-  std::size_t sockets = 0;  // file descriptors that the process may hold
+  // Parts of the file descriptors that the process may hold: for clients; for calls out and kept connections.
+  std::size_t client_connections = 0, endpoint_connections = 0;
   std::uint64_t memory_bytes = 0;
   std::uint64_t disk_bytes = 0;  // that the state folder may hold
   std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -25,12 +25,15 @@
 constexpr std::size_t kMostList = 4 << 20;  // bytes of a list
 constexpr auto kPostTime = std::chrono::seconds(1);
 constexpr auto kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::milliseconds(1000);
-constexpr std::size_t kMostLines = 64;  // notices in one request
+constexpr unsigned kUnreadable = 400;
 
 }  // namespace
 
 struct Platform::Query {
-  Query(net::io_context& io, bool f) : follow(f), socket(io), timer(io) { parser.body_limit(boost::none); }
+  Query(net::io_context& io, bool f) : follow(f), socket(io), timer(io) {
+    // A watch goes on for ever. Beast 1.74 takes no limit for a limit of nothing where a length is announced.
+    f ? parser.body_limit(boost::none) : parser.body_limit(kMostList);
+  }
   bool follow, over = false;
   tcp::socket socket;
   net::steady_timer timer;
@@ -83,6 +86,7 @@
   if (address == address_) return;
   address_ = address;
   index_ = 0;  // the new one may count anew: it is asked for all
+  whole_due_ = true;
   const bool fetching = fetch_ != nullptr;
   drop(fetch_);
   if (fetching) fetch();
@@ -147,10 +151,13 @@
         }
         if (!query->parser.is_done()) return read(query);
         if (query->follow) return end(query, "ended");
-        if (!line(query->text)) return end(query, "a list that can't be read");
         query->over = true;
         query->timer.cancel();
         fetch_.reset();
+        if (!line(query->text, false)) {
+          log("discovery: list: can't be read");
+          failed_();
+        }
       });
 }
 
@@ -159,21 +166,29 @@
   std::size_t at = 0;
   for (std::size_t end; (end = query.text.find('\n', at)) != std::string::npos; at = end + 1) {
     const std::string one = query.text.substr(at, end - at);
-    if (one.find_first_not_of(" \r\t") != std::string::npos && !line(one)) return false;
+    if (one.find_first_not_of(" \r\t") != std::string::npos && !line(one, true)) return false;
     if (query.over) return true;
   }
   query.text.erase(0, at);
   return true;
 }
 
-bool Platform::line(const std::string& text) {
+bool Platform::line(const std::string& text, bool follow) {
   rapidjson::Document v;
-  v.Parse(text.data(), text.size());
+  // Not by recursion, which thousands of open brackets would take past the stack's end.
+  v.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
   if (v.HasParseError()) return false;
   try {
     MemberList list = read_members(v, "members", names_);
-    index_ = list.index;
-    listed_(std::move(list));
+    // What a whole list says after a move is all there is; changes alone leave in what went before them. One
+    // that was overtaken by the watch is asked for again.
+    const bool overtaken = !follow && watch_ && list.index < index_;
+    whole_due_ = whole_due_ && (!list.snapshot || overtaken);
+    if (!overtaken) {
+      index_ = list.index;
+      listed_(std::move(list));
+    }
+    if (whole_due_) fetch();
     return true;
   } catch (const cedarplank::adapter::WireError& e) {
     log(std::string("discovery: ") + e.what());
@@ -189,6 +204,7 @@
   query->socket.close(ignored);
   if (watch_ == query) watch_.reset();
   if (fetch_ == query) fetch_.reset();
+  if (whole_due_) index_ = 0;  // the next watch asks for all again
   failed_();
 }
 
@@ -209,7 +225,7 @@
   const auto post = post_ = std::make_shared<Post>(io_);
   auto& request = post->request;
   for (const auto& [id, text] : owed_) {
-    if (post->ids.size() >= kMostLines) break;
+    if (post->ids.size() >= most_lines_) break;
     post->ids.push_back(id);
     request.body() += text;
   }
@@ -248,6 +264,13 @@
   post->socket->async_connect(address_, talk);
 }
 
+void Platform::told(const std::vector<MessageId>& ids) {
+  for (const MessageId id : ids) owed_.erase(id);
+  if (owed_.empty()) most_lines_ = kMostLines;
+  noticed_(ids);
+  if (!owed_.empty() && !post_) post();
+}
+
 void Platform::posted(const std::shared_ptr<Post>& post, const std::string& problem) {
   post->over = true;
   post->timer.cancel();
@@ -255,13 +278,21 @@
   if (problem.empty()) {
     backoff_ = kFirstBackoff;
     if (post->response.keep_alive()) kept_ = post->socket;
-    for (const MessageId id : post->ids) owed_.erase(id);
-    noticed_(post->ids);
-    if (!owed_.empty() && !post_) this->post();
-    return;
+    return told(post->ids);
   }
   error_code ignored;
   post->socket->close(ignored);
+  if (post->response.result_int() == kUnreadable) {
+    // Guards against one notice that the platform can't read, sent for ever with all that it holds up: they
+    // go one by one until it is found, and it goes.
+    if (post->ids.size() > 1) {
+      most_lines_ = 1;
+      return this->post();
+    }
+    log("notices: the platform can't read " + owed_[post->ids[0]]);
+    most_lines_ = kMostLines;
+    return told(post->ids);
+  }
   // A notice for a message that is over does no harm, so it goes again; at once where only a kept
   // connection had ended.
   if (!post->fresh) return this->post();
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -44,10 +44,11 @@
   void drop(std::shared_ptr<Query>& query);
   void read(const std::shared_ptr<Query>& query);
   bool lines(Query& query);
-  bool line(const std::string& text);
+  bool line(const std::string& text, bool follow);
   void end(const std::shared_ptr<Query>& query, const std::string& why);
   void guard(const std::shared_ptr<Query>& query);
   void post();
+  void told(const std::vector<MessageId>& ids);
   void posted(const std::shared_ptr<Post>& post, const std::string& problem);
 
   boost::asio::io_context& io_;
@@ -61,8 +62,11 @@
   std::map<MessageId, std::string> owed_;  // notices, as lines
   std::shared_ptr<Post> post_;             // the one under way
   std::shared_ptr<boost::asio::ip::tcp::socket> kept_;
+  static constexpr std::size_t kMostLines = 64;  // notices in one request
+  std::size_t most_lines_ = kMostLines;
   boost::asio::steady_timer again_;
   bool waiting_ = false;
+  bool whole_due_ = false;  // since discovery moved
   bool following_ = false;  // the module wants changes
   std::chrono::milliseconds backoff_;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-// Shares of the descriptors: client connections, kept connections to endpoints. The rest is room to spare.
-constexpr std::size_t kClientPart = 2, kKeptPart = 4;
 // Share of the memory for bodies that are being read.
 constexpr std::size_t kBodyPart = 8;
 constexpr std::size_t kMostDestinations = 4096;  // remembered besides those that are listed
@@ -34,7 +32,7 @@
   limits.slots = static_cast<std::size_t>(c.settings.slots);
   limits.connect_timeout = c.settings.connect_timeout;
   limits.idle = c.settings.connection_idle;
-  limits.kept_most = c.sockets / kKeptPart;
+  limits.connections = c.endpoint_connections;
   limits.reports = c.reports_in_answers;
   return limits;
 }
@@ -91,7 +89,7 @@
   round();
   intake_.emplace(
       io, config.listen, config.settings, config.names,
-      IntakeLimits{config.sockets / kClientPart, config.memory_bytes / kBodyPart},
+      IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
       [this](Message m, Reply reply) { arrive(std::move(m), std::move(reply)); }, [this] { return ready(); });
   log("listening as " + config.name);
 }
