--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -112,28 +113,32 @@
 inline void answer_ok(const Got& g) { g.session->answer(200); }
 inline void stay_silent(const Got&) {}
 
-// One client connection.
-class Client {
+// One client connection. A read that is under way keeps it, though the test may have let it go.
+class Client : public std::enable_shared_from_this<Client> {
  public:
-  explicit Client(tcp::socket socket) : socket_(std::move(socket)) { read(); }
+  explicit Client(tcp::socket socket) : socket_(std::move(socket)) {}
   void write(const std::string& bytes) {
     error_code ignored;
     net::write(socket_, net::buffer(bytes), ignored);
   }
   void end_sending() { socket_.shutdown(tcp::socket::shutdown_send); }
-  std::vector<Response> answers;
-  bool ended = false;
-
- private:
+  void close() {
+    error_code ignored;
+    socket_.close(ignored);
+  }
   void read() {
     const auto answer = std::make_shared<Response>();
-    http::async_read(socket_, buffer_, *answer, [this, answer](error_code bad, auto) {
-      ended = bool(bad);
+    http::async_read(socket_, buffer_, *answer, [self = shared_from_this(), answer](error_code bad, auto) {
+      self->ended = bool(bad);
       if (bad) return;
-      answers.push_back(*answer);
-      read();
+      self->answers.push_back(*answer);
+      self->read();
     });
   }
+  std::vector<Response> answers;
+  bool ended = false;
+
+ private:
   tcp::socket socket_;
   beast::flat_buffer buffer_;
 };
@@ -188,6 +193,9 @@
     std::ofstream(folder + "/config.json") << text;
     child = ::fork();
     if (child == 0) {
+      // It never outlives its test, nor holds the runner's pipe, however the test ends.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (std::freopen("/dev/null", "w", stdout) == nullptr) ::_exit(126);
       if (largest_file > 0) {
         const rlimit limit{largest_file, RLIM_INFINITY};
         ::signal(SIGXFSZ, SIG_IGN);
@@ -245,6 +253,7 @@
     socket.connect({net::ip::make_address(own_address()), port}, bad);
     if (bad) return nullptr;
     clients.push_back(std::make_shared<Client>(std::move(socket)));
+    clients.back()->read();
     return clients.back();
   }
   static std::string request(const std::string& id, const std::string& cls, const std::string& body = "hello",
@@ -266,6 +275,11 @@
     return ask(request(id, cls, body, deadline));
   }
 
+  void let_clients_go() {
+    for (const auto& c : clients) c->close();
+    clients.clear();
+  }
+
   // ---- The platform. ----
   void on_platform(const Got& g) {
     if (g.request.method() == http::verb::post) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -428,7 +428,7 @@
                           : member("e" + std::to_string(i - 1), endpoint.address(), "gone")),
               false));
     ASSERT_EQ(hand_in("m" + id, kSafe, std::string(2000, 'x')), 202u);
-    clients.clear();
+    let_clients_go();
     wait_for([&] { return endpoint.got.size() == static_cast<std::size_t>(i) + 1; }, "the call");
     if (HasFatalFailure()) return;
     if (i == 200) files = descriptors(), memory = resident();
