--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -51,6 +51,12 @@
 constexpr double kRampShareMany = 0.67;  // guesses, of many relays: so much alone breaks the rule
 constexpr double kLeastCalls = 3;        // calls a second of all relays that an endpoint is taken to get
 constexpr double kEvidence = 3;          // seconds of own calls that must fail to close, kCloseRun at most
+// Stray failures: resets and errors at endpoints that serve on.
+constexpr double kStrayGain = 0.02;     // weight of the newest call in their share
+constexpr double kStrayLeast = 0.05;    // share from which on they are reckoned with
+constexpr double kStrayChance = 0.003;  // a run that is likelier than this by chance closes nothing
+constexpr int kStraysOfOne = 2;         // of one run counted at most: the rest may be an outage
+constexpr int kStrayMost = 8;           // bad signs that close whatever the chance
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
 constexpr double kTrialSlots = 0.25;   // for trial calls of all closed endpoints
@@ -128,6 +134,7 @@
   Rate served, asked{kLongMemory};  // calls served; first tries while open
   double fail_share = 0;
   int fail_run = 0;                     // failed calls since the last serve
+  int strays = 0;                       // resets and errors among them
   Time served_at = 0, served_sent = 0;  // last serve, and the newest send among those served
   bool doubt_run = false;               // the last failure may have run
   bool idle_closed = false;             // idle connections were dropped in this spell
@@ -193,6 +200,7 @@
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1;
   std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
+  double stray_share = 0;             // of calls that fail at endpoints which serve on
   double slowness = 1;                // recent latencies of all serves, in usual ones
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
@@ -369,6 +377,8 @@
       e.since = e.budget_at = now;
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
     }
+    for (; e.strays > 0; e.strays--) stray_share += kStrayGain * (1 - stray_share);
+    stray_share *= 1 - kStrayGain;
     e.fail_run = 0, e.idle_closed = false;
     e.bundle = std::min(e.bundle + 1, e.bundle_max);
     if (e.call_cap > 0 && now - e.capped_at > micros(2)) e.call_cap++, e.capped_at = now;
@@ -392,6 +402,12 @@
   int signs_needed(EndpointState& e) const {
     return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), 1, kCloseRun);
   }
+  // Where calls fail everywhere now and then, a run of failures must be longer to tell an outage. Guards
+  // against closing sound endpoints one after the other on a day of stray resets. 1: no strays to speak of.
+  int run_beyond_chance() const {
+    if (stray_share < kStrayLeast) return 1;
+    return std::min(kStrayMost, static_cast<int>(std::ceil(std::log(kStrayChance) / std::log(stray_share))));
+  }
   void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
@@ -404,6 +420,8 @@
       e.capped_at = now;
     }
     e.fail_run++;
+    if (ev.outcome == Outcome::reset || ev.outcome == Outcome::error)
+      e.strays = std::min(e.strays + 1, kStraysOfOne);
     e.doubt_run = ev.outcome != Outcome::connect_failed;
     e.fail_share += kFailMemory * (1 - e.fail_share);
     if (ev.outcome == Outcome::timeout || ev.outcome == Outcome::cancelled) {
@@ -412,9 +430,13 @@
     }
     // In the ramp two in a row close again: one stray failure must not start the ramp anew.
     // A single error proves little: some come from sound endpoints too.
-    const int few = std::max(signs_needed(e), ev.outcome == Outcome::error ? 2 : 1);
-    const int run = e.health == Health::open ? kCloseRun : e.health == Health::ramp ? kCloseRun - 1 : 1;
-    if (e.fail_run >= few || e.fail_run + overdue(e) >= run || e.fail_share > kMostFail)
+    const int chance = run_beyond_chance();
+    const int few = std::max({signs_needed(e), ev.outcome == Outcome::error ? 2 : 1, chance});
+    const int run = e.health == Health::open   ? std::max(kCloseRun, chance)
+                    : e.health == Health::ramp ? std::max(kCloseRun - 1, chance)
+                                               : 1;
+    const double most_fail = kMostFail + (chance > 1 ? stray_share : 0);
+    if (e.fail_run >= few || e.fail_run + overdue(e) >= run || e.fail_share > most_fail)
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
                : ev.outcome == Outcome::error        ? "errors"
                                                      : "silent");
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -1,5 +1,6 @@
 // The ordinary path (LIMD delay, pace) and the departures from it, on scripted events.
 #include <optional>
+#include <random>
 #include <set>
 #include <stdexcept>
 
@@ -230,6 +231,38 @@
   r.live(8 * kS, 20, kSafe, 1, serve);
   EXPECT_GE(r.sends_between(r.now - 2 * kS, r.now), 30);
 }
+TEST(Shut, StrayResetsEverywhereCloseNoSoundEndpointAnOutageStillDoes) {
+  auto s = plain();
+  s.cold = 8 * kS, s.slots = 64;
+  Relay r(s);
+  constexpr int kEndpoints = 10;
+  std::vector<Endpoint> endpoints;
+  for (int i = 0; i < kEndpoints; i++)
+    endpoints.push_back({.id = std::string(1, static_cast<char>('a' + i)), .destination = i});
+  r.list(endpoints);
+  std::mt19937 random(7);
+  bool outage = false;
+  const auto live = [&](Time span) {
+    for (const Time until = r.now + span; r.now < until; r.run_to(r.now + 100 * kMs)) {
+      for (const auto& sent : std::vector<Sent>(r.out)) {
+        const bool lost = random() % 4 == 0 || (outage && sent.endpoint == "a");
+        r.end(sent.id, lost ? Outcome::reset : Outcome::served);
+      }
+      for (int i = 0; i < kEndpoints; i++) r.arrive(kSafe, i);
+    }
+  };
+  live(10 * kS);  // until the share of strays is known
+  const auto ended = [&] { return r.failed.size() + r.refused.size(); };
+  const auto before = ended();
+  const Time from = r.now;
+  live(20 * kS);
+  EXPECT_LE(ended() - before, 100u) << "of 2000 messages";
+  EXPECT_GE(r.sends_between(from, r.now), 2400);
+  outage = true;
+  live(10 * kS);
+  EXPECT_LE(r.sends_between(r.now - 5 * kS, r.now, "a"), 10);
+  EXPECT_GE(r.sends_between(r.now - 5 * kS, r.now), 500);
+}
 TEST(Shut, TrialsOfManyRelaysDoNotAddUp) {
   auto s = plain();
   s.relays = 200, s.fall_multiple = 2, s.cold_from = 0.2, s.cold = 10 * kS;
