--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -410,9 +410,6 @@
   }
   void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
-    // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
-    // to a doubtful endpoint, and against one that stumbles over large bundles only.
-    e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
     if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() && overdue(e) == 0 &&
         e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
@@ -431,6 +428,10 @@
     // In the ramp two in a row close again: one stray failure must not start the ramp anew.
     // A single error proves little: some come from sound endpoints too.
     const int chance = run_beyond_chance();
+    // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
+    // to a doubtful endpoint, and against one that stumbles over large bundles only. Not where it may be a
+    // stray failure: under a limit of calls, small bundles would starve the rest.
+    if (chance == 1 || e.fail_run > 1) e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
     const int few = std::max({signs_needed(e), ev.outcome == Outcome::error ? 2 : 1, chance});
     const int run = e.health == Health::open   ? std::max(kCloseRun, chance)
                     : e.health == Health::ramp ? std::max(kCloseRun - 1, chance)
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -126,6 +126,32 @@
   r.round(events);
   EXPECT_EQ(r.out.size(), 4u);  // one call of four; the slot is taken
 }
+TEST(Bundles, StaySoWhereOneCallInFourIsResetEverywhere) {
+  auto s = plain();
+  s.slots = 1;  // one call at a time
+  s.kinds[0].bundle_max = 8;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  std::size_t calls = 0, messages = 0;
+  MessageId id = 1000;
+  for (int round = 0; round < 400; round++) {
+    std::vector<Event> events;
+    for (int i = 0; i < 8; i++) {
+      event::Arrival a;
+      a.id = ++id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;  // a reset ends them
+      events.push_back(a);
+    }
+    r.round(events);
+    if (round >= 200 && !r.out.empty()) calls++, messages += r.out.size();
+    r.run_to(r.now + 100 * kMs);
+    std::vector<Event> ends;
+    for (const auto& sent : std::vector<Sent>(r.out))
+      ends.push_back(r.ending(sent.id, round % 4 == 0 ? Outcome::reset : Outcome::served));
+    r.round(ends);
+  }
+  EXPECT_GE(calls, 100u);
+  EXPECT_GE(messages, 7 * calls);  // by halves and steps of one it was 4.5
+}
 TEST(Bundles, ShrinkWhenCallsFail) {
   auto s = plain();
   s.kinds[0].bundle_max = 8;
