--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -219,7 +219,8 @@
     response_.result(a.status);
     if (a.retry_after > 0) response_.set(http::field::retry_after, seconds_text(a.retry_after));
     if (a.status == 405) response_.set(http::field::allow, "POST");
-    close_after_ = close_after_ || intake_.draining_;
+    // Guards against clients that ask once and keep their connection: they would hold what others need.
+    close_after_ = close_after_ || intake_.draining_ || intake_.short_of_room();
     response_.keep_alive(!close_after_);
     response_.prepare_payload();
     limit(kAnswerTime);
@@ -304,9 +305,11 @@
   });
 }
 
+bool Intake::short_of_room() const { return sessions_.size() * kShortOf >= limits_.clients * kShort; }
+
 // One that stands between requests may be closed, one with a request would lose its message.
 void Intake::make_room() {
-  if (sessions_.size() * kShortOf < limits_.clients * kShort) return;
+  if (!short_of_room()) return;
   const Time now = steady_now();
   std::vector<std::pair<Time, std::shared_ptr<Session>>> spare;
   for (const auto& session : sessions_) {
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -48,6 +48,7 @@
   class Session;
   void accept();
   void make_room();
+  bool short_of_room() const;
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
