Module: a message without a chance ends some rounds before its deadline, so that its end is told in time

Ruled out: the notices' way, calls without an outcome (none). That a stall was the cause there is likely, not proven.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -73,6 +73,7 @@
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
 constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
 // List and buffer.
+constexpr double kLeastLeft = 0.05;  // of the shortest aim: with less time left, nothing is sent any more
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
@@ -664,7 +665,8 @@
   }
   // After this a send can't be made any more: the deadline, or the end of the key's window.
   Time latest_send(const Message& m) const {
-    Time t = m.deadline - 2 * set.tick;
+    // Guards against ends that are told too late: a stall of a few rounds just before the deadline.
+    Time t = m.deadline - std::max(2 * set.tick, micros(kLeastLeft * shortest_aim));
     if (m.cls->effect == Effect::keyed && m.may_ran_zone)
       t = std::min(t, m.may_ran_sent + m.cls->key_window - set.tick);
     return t;
@@ -798,12 +800,13 @@
       if (m.over) continue;
       held++;
       const bool in_flight = !m.out.empty();
-      if (now >= (in_flight ? m.deadline : latest_send(m))) {
+      const Time last = in_flight ? m.deadline - 2 * set.tick : latest_send(m);
+      if (now >= last) {
         finish(m, false);
         ended.push_back(id);
         continue;
       }
-      wake_by(in_flight ? m.deadline : latest_send(m));
+      wake_by(last);
       if (in_flight) {
         if (set.cancelling) give_up(m, slots_short);
         continue;
