Test of the memory disk: a failed sync alone, and room of less than a block

Three mutations of the double were not told by its test: a failed sync() that counted as one, a sync that forgot nothing, room for part of a block taken as a whole one.

--- a/tests/store/memory_disk_test.cpp
+++ b/tests/store/memory_disk_test.cpp
@@ -155,6 +155,8 @@
   EXPECT_EQ(disk.used(), 1536U);
   EXPECT_EQ(disk.bytes(), 1536U);
   EXPECT_EQ(disk.peak_bytes(), 2048U);
+  disk.set_capacity(2047);  // less than a block is left
+  EXPECT_EQ(disk.write(a, 1024, "x", count), std::errc::no_space_on_device);
   disk.set_capacity(0);
   write(a, 0, "in place");
 }
@@ -320,16 +322,18 @@
   disk.put("a", "");
   const auto a = open("a", Access::write);
   disk.fail(2, {.error = std::errc::io_error, .drops = true});
-  disk.fail(5, {.error = std::errc::io_error});
+  disk.fail(6, {.error = std::errc::io_error});
   write(a, 0, "x");            // 1
   EXPECT_TRUE(disk.sync(a));   // 2: forgets the x
   write(a, 1, "y");            // 3
   EXPECT_FALSE(disk.sync(a));  // 4
-  EXPECT_TRUE(disk.sync(a));   // 5
-  write(a, 2, "z");            // 6
+  write(a, 2, "z");            // 5
+  EXPECT_TRUE(disk.sync(a));   // 6
   EXPECT_FALSE(disk.sync(a));  // 7
   EXPECT_EQ(disk.unsynced(2), 1U);
   EXPECT_EQ(content(*disk.power_loss(2, LossChoice::none()), "a"), "");
+  EXPECT_EQ(disk.unsynced(6), 2U);
+  EXPECT_EQ(content(*disk.power_loss(6, LossChoice::none()), "a"), std::string("\0y", 2));
   EXPECT_EQ(disk.unsynced(7), 1U);
   EXPECT_EQ(content(*disk.power_loss(7, LossChoice::none()), "a"), std::string("\0yz", 3));
   EXPECT_EQ(content(*disk.power_loss(7, LossChoice::only(1)), "a"), "xyz");
