--- /dev/null
+++ b/relay/core/message.hpp
@@ -0,0 +1,58 @@
+// What the relay holds: a message, the attempts made for it, how it was given up.
+//
+// Times are microseconds on the store's lasting clock (store/lasting_clock.hpp), which goes on over restarts.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+
+namespace heronvane {
+
+using cedarplank::MessageId;
+using cedarplank::Outcome;
+using cedarplank::Time;
+
+struct Message {
+  std::string id;  // the client's X-Request-Id
+  std::string message_class, tenant;
+  std::int64_t destination = 0;
+  Time deadline = 0;
+  bool repeat = false;  // the client hands it in again
+  std::string body;
+};
+
+struct Attempt {
+  Time sent = 0;
+  int zone = -1;                   // of its endpoint; -1: unknown
+  std::optional<Outcome> outcome;  // none: not seen, so it may have run
+  bool may_have_run() const {
+    return !outcome || !(*outcome == Outcome::full || *outcome == Outcome::connect_failed ||
+                         *outcome == Outcome::not_sent);
+  }
+};
+
+// A message that is given up: its notice is owed to the platform.
+struct Ending {
+  bool deferred = false;  // handing it in again is harmless
+  Time again = 0;         // after so long; a duration
+};
+
+struct Held {
+  Message message;
+  std::vector<Attempt> attempts;  // in the order of their sends
+  std::optional<Ending> ending;
+  // Records of it may have been lost: an attempt that is not known may have run.
+  bool doubt = false;
+  bool may_have_run() const {
+    if (doubt) return true;
+    for (const auto& a : attempts)
+      if (a.may_have_run()) return true;
+    return false;
+  }
+};
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/store/lasting_clock.cpp
@@ -0,0 +1,48 @@
+#include "store/lasting_clock.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <fstream>
+#include <utility>
+
+namespace heronvane::store {
+namespace {
+
+Time read_clock(clockid_t which) {
+  timespec t{};
+  ::clock_gettime(which, &t);
+  return static_cast<Time>(t.tv_sec) * 1'000'000 + t.tv_nsec / 1'000;
+}
+
+}  // namespace
+
+ClockReading system_clocks() { return {read_clock(CLOCK_BOOTTIME), read_clock(CLOCK_REALTIME)}; }
+
+std::string system_boot() {
+  std::ifstream in("/proc/sys/kernel/random/boot_id");
+  std::string id;
+  in >> id;
+  return id;
+}
+
+LastingClock::LastingClock(std::string boot, ReadClocks read)
+    : boot_(std::move(boot)), read_(std::move(read)) {
+  const auto now = read_();
+  offset_ = now.wall - now.boottime;
+}
+
+void LastingClock::resume(const Anchor& last) {
+  const auto now = read_();
+  const bool same_run = !last.boot.empty() && last.boot == boot_ && now.boottime >= last.boottime;
+  gap_ = same_run ? 0 : std::max<Time>(now.wall - last.wall, 0);
+  offset_ = last.lasting + (same_run ? now.boottime - last.boottime : gap_) - now.boottime;
+}
+
+Time LastingClock::now() const { return read_().boottime + offset_; }
+
+Anchor LastingClock::anchor() const {
+  const auto now = read_();
+  return {boot_, now.boottime, now.wall, now.boottime + offset_};
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/ledger.hpp
@@ -0,0 +1,110 @@
+// Which segment holds what of the live records: what compaction may drop, and what it must write anew first.
+// No input or output here.
+//
+// A record is live while the store would come to another state without it. That a message is over stays live
+// as long as any segment has the message, or its id is remembered: else the message would come back to life.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "store/records.hpp"
+
+namespace heronvane::store {
+
+// What is to be known of a record that was written.
+struct Note {
+  Kind kind = Kind::anchor;
+  MessageId number = 0;     // of its message
+  std::string key;          // of a fact
+  bool remembered = false;  // over: its id; fact: it has a value
+  std::uint32_t bytes = 0;  // of its frame
+};
+Note note_of(const Record& record, std::size_t bytes);
+
+// What must be written anew before a segment may go.
+struct Moving {
+  std::vector<MessageId> whole;     // messages, as Taken
+  std::vector<MessageId> progress;  // messages, as Progress
+  std::vector<MessageId> over;
+  std::vector<std::string> facts;
+  bool empty() const { return whole.empty() && progress.empty() && over.empty() && facts.empty(); }
+};
+
+class Ledger {
+ public:
+  struct Segment {
+    std::uint64_t bytes = 0;  // of the file
+    std::uint64_t live = 0;   // of its live records
+    Sequence end = 0;         // behind its last record; 0 while records are added to it
+    bool damaged = false;     // its file is to be set aside, not removed
+    bool old = false;         // of format 1
+  };
+
+  void add_segment(SegmentNumber segment);
+  void grow(SegmentNumber segment, std::uint64_t bytes) { segments_.at(segment).bytes += bytes; }
+  void damaged(SegmentNumber segment) { segments_.at(segment).damaged = true; }
+  void old(SegmentNumber segment) { segments_.at(segment).old = true; }
+  // Nothing is added to it any more.
+  void closed(SegmentNumber segment, Sequence end) { segments_.at(segment).end = end; }
+  // The record stands in that segment, behind all that was noted before.
+  void note(const Note& note, SegmentNumber segment);
+  // The id of that message, which is over, need not be remembered any more.
+  void forget_id(MessageId number);
+  // Where it is the oldest segment: that facts in it were dropped need not be known any more.
+  void settle_oldest(SegmentNumber segment);
+  // The segment is gone; nothing live was left in it.
+  void remove_segment(SegmentNumber segment);
+
+  const std::map<SegmentNumber, Segment>& segments() const { return segments_; }
+  std::uint64_t live() const { return live_; }
+  std::size_t tracked() const { return tracks_.size(); }
+
+  // What is live in `segment`, looked at in the order in which it was written from `at` on, until `most`
+  // records were looked at or `bytes` bytes are to be moved; `at` moves on. True while there is more.
+  bool moving(SegmentNumber segment, std::size_t& at, std::size_t most, std::uint64_t bytes,
+              Moving& out) const;
+
+ private:
+  struct Place {
+    SegmentNumber segment = 0;
+    std::uint64_t bytes = 0;
+  };
+  struct Track {
+    Place base;                // the message's, while it is held; that of its being over, afterwards
+    std::vector<Place> later;  // of Sent, Ended, GivenUp, Progress: one for each segment
+    std::uint32_t bases = 0;   // segments in which the message stands, live or not
+    bool over = false, remembered = false;
+  };
+  struct FactTrack {
+    Place place;
+    bool dropped = false;
+  };
+  struct Resident {
+    MessageId number = 0;
+    bool base = false;  // the message itself stands there
+  };
+  struct Residents {
+    std::vector<Resident> messages;
+    std::vector<std::string> facts;
+  };
+
+  void live(const Place& place) { segments_.at(place.segment).live += place.bytes, live_ += place.bytes; }
+  void dead(const Place& place);
+  void dead_later(Track& track);
+  bool stands_in(const Track& track, SegmentNumber segment) const;
+  void drop_dropped_facts(const std::vector<std::string>& keys, SegmentNumber oldest);
+  void drop_if_done(std::unordered_map<MessageId, Track>::iterator it);
+
+  std::map<SegmentNumber, Segment> segments_;
+  std::unordered_map<SegmentNumber, Residents> residents_;
+  std::unordered_map<MessageId, Track> tracks_;
+  std::map<std::string, FactTrack> facts_;
+  std::uint64_t live_ = 0;
+};
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/records.cpp
@@ -0,0 +1,294 @@
+#include "store/records.hpp"
+
+#include <bit>
+#include <boost/crc.hpp>
+#include <cstring>
+#include <type_traits>
+
+namespace heronvane::store {
+namespace {
+
+static_assert(std::endian::native == std::endian::little);
+
+constexpr char kMagic0 = 'H', kMagic1 = 'V';
+constexpr char kLast = 1;  // flag: the last frame of its batch
+
+// Writes fields behind one another.
+class Packer {
+ public:
+  explicit Packer(std::string& text) : text_(text) {}
+  template <class T>
+  Packer& number(T v) {
+    static_assert(std::is_arithmetic_v<T>);
+    text_.append(reinterpret_cast<const char*>(&v), sizeof v);
+    return *this;
+  }
+  Packer& text(std::string_view s) {
+    number(static_cast<std::uint32_t>(s.size()));
+    text_ += s;
+    return *this;
+  }
+
+ private:
+  std::string& text_;
+};
+
+// Reads them again. What is not there reads as zeros and is told by whole().
+class Unpacker {
+ public:
+  explicit Unpacker(std::string_view text) : text_(text) {}
+  template <class T>
+  T number() {
+    static_assert(std::is_arithmetic_v<T>);
+    T v{};
+    if (const char* at = bytes(sizeof v)) std::memcpy(&v, at, sizeof v);
+    return v;
+  }
+  bool flag() {
+    const auto v = number<std::uint8_t>();
+    good_ = good_ && v <= 1;
+    return v == 1;
+  }
+  std::string text() {
+    const auto size = number<std::uint32_t>();
+    const char* at = bytes(size);
+    return at == nullptr ? std::string() : std::string(at, size);
+  }
+  // How many entries follow, of so many bytes each at least.
+  std::size_t count(std::size_t least) {
+    const auto n = number<std::uint32_t>();
+    if (n > (text_.size() - at_) / least) good_ = false;
+    return good_ ? n : 0;
+  }
+  Outcome outcome() {
+    const auto v = number<std::uint8_t>();
+    good_ = good_ && v <= static_cast<std::uint8_t>(Outcome::not_sent);
+    return static_cast<Outcome>(v);
+  }
+  void refuse() { good_ = false; }
+  bool whole() const { return good_ && at_ == text_.size(); }
+
+ private:
+  const char* bytes(std::size_t n) {
+    if (!good_ || text_.size() - at_ < n) {
+      good_ = false;
+      return nullptr;
+    }
+    at_ += n;
+    return text_.data() + at_ - n;
+  }
+  std::string_view text_;
+  std::size_t at_ = 0;
+  bool good_ = true;
+};
+
+constexpr std::size_t kAttemptField = 13;
+
+void put(Packer& p, const std::vector<Attempt>& attempts, const std::optional<Ending>& ending, bool doubt) {
+  p.number(static_cast<std::uint32_t>(attempts.size()));
+  for (const auto& a : attempts)
+    p.number(a.sent)
+        .number(static_cast<std::int32_t>(a.zone))
+        .number(static_cast<std::uint8_t>(a.outcome ? 1 + static_cast<int>(*a.outcome) : 0));
+  p.number(static_cast<std::uint8_t>(ending ? 1 + (ending->deferred ? 1 : 0) : 0));
+  p.number(ending ? ending->again : Time{0}).number(static_cast<std::uint8_t>(doubt));
+}
+void take(Unpacker& u, std::vector<Attempt>& attempts, std::optional<Ending>& ending, bool& doubt) {
+  attempts.resize(u.count(kAttemptField));
+  for (auto& a : attempts) {
+    a.sent = u.number<Time>(), a.zone = u.number<std::int32_t>();
+    const auto outcome = u.number<std::uint8_t>();
+    if (outcome > 1 + static_cast<int>(Outcome::not_sent)) u.refuse();
+    if (outcome > 0) a.outcome = static_cast<Outcome>(outcome - 1);
+  }
+  const auto how = u.number<std::uint8_t>();
+  const auto again = u.number<Time>();
+  if (how > 2) u.refuse();
+  if (how > 0) ending = Ending{how == 2, again};
+  doubt = u.flag();
+}
+
+void put(Packer& p, const Anchor& a) { p.text(a.boot).number(a.boottime).number(a.wall).number(a.lasting); }
+Anchor take_anchor(Unpacker& u) {
+  Anchor a;
+  a.boot = u.text(), a.boottime = u.number<Time>(), a.wall = u.number<Time>(), a.lasting = u.number<Time>();
+  return a;
+}
+
+void put(Packer& p, MessageId number, const Held& h) {
+  const Message& m = h.message;
+  p.number(number).text(m.id).text(m.message_class).text(m.tenant).number(m.destination).number(m.deadline);
+  p.number(static_cast<std::uint8_t>(m.repeat)).text(m.body);
+  put(p, h.attempts, h.ending, h.doubt);
+}
+
+Kind kind_of(const Record& r) {
+  constexpr Kind kinds[] = {Kind::segment,  Kind::taken, Kind::progress, Kind::sent,    Kind::ended,
+                            Kind::given_up, Kind::over,  Kind::fact,     Kind::dropped, Kind::anchor};
+  static_assert(std::size(kinds) == std::variant_size_v<Record>);
+  return kinds[r.index()];
+}
+
+struct Put {
+  Packer& p;
+  void operator()(const record::Segment& r) const {
+    p.number(r.version).number(r.number).number(r.next_message);
+    put(p, r.anchor);
+    p.number(static_cast<std::uint32_t>(r.others.size()));
+    for (const auto& other : r.others) p.number(other.number).number(other.end);
+  }
+  void operator()(const record::Taken& r) const { put(p, r.number, r.held); }
+  void operator()(const record::Progress& r) const {
+    p.number(r.number);
+    put(p, r.attempts, r.ending, r.doubt);
+  }
+  void operator()(const record::Sent& r) const {
+    p.number(r.number).number(r.attempt).number(r.at).number(r.zone);
+  }
+  void operator()(const record::Ended& r) const {
+    p.number(r.number).number(r.attempt).number(static_cast<std::uint8_t>(r.outcome));
+  }
+  void operator()(const record::GivenUp& r) const {
+    p.number(r.number).number(static_cast<std::uint8_t>(r.ending.deferred)).number(r.ending.again);
+  }
+  void operator()(const record::Over& r) const { p.number(r.number).text(r.id).number(r.remember_until); }
+  void operator()(const record::Fact& r) const { p.text(r.key).text(r.value); }
+  void operator()(const record::Dropped& r) const { p.number(r.segment); }
+  void operator()(const Anchor& r) const { put(p, r); }
+};
+
+Record take(Kind kind, Unpacker& u) {
+  switch (kind) {
+    case Kind::segment: {
+      record::Segment r;
+      r.version = u.number<std::uint16_t>(), r.number = u.number<SegmentNumber>();
+      r.next_message = u.number<MessageId>();
+      r.anchor = take_anchor(u);
+      r.others.resize(u.count(sizeof(SegmentNumber) + sizeof(Sequence)));
+      for (auto& other : r.others) other.number = u.number<SegmentNumber>(), other.end = u.number<Sequence>();
+      return r;
+    }
+    case Kind::taken: {
+      record::Taken r;
+      Message& m = r.held.message;
+      r.number = u.number<MessageId>();
+      m.id = u.text(), m.message_class = u.text(), m.tenant = u.text();
+      m.destination = u.number<std::int64_t>(), m.deadline = u.number<Time>();
+      m.repeat = u.flag(), m.body = u.text();
+      take(u, r.held.attempts, r.held.ending, r.held.doubt);
+      return r;
+    }
+    case Kind::progress: {
+      record::Progress r;
+      r.number = u.number<MessageId>();
+      take(u, r.attempts, r.ending, r.doubt);
+      return r;
+    }
+    case Kind::sent: {
+      record::Sent r;
+      r.number = u.number<MessageId>(), r.attempt = u.number<std::uint32_t>();
+      r.at = u.number<Time>(), r.zone = u.number<std::int32_t>();
+      return r;
+    }
+    case Kind::ended: {
+      record::Ended r;
+      r.number = u.number<MessageId>(), r.attempt = u.number<std::uint32_t>(), r.outcome = u.outcome();
+      return r;
+    }
+    case Kind::given_up: {
+      record::GivenUp r;
+      r.number = u.number<MessageId>(), r.ending.deferred = u.flag(), r.ending.again = u.number<Time>();
+      return r;
+    }
+    case Kind::over: {
+      record::Over r;
+      r.number = u.number<MessageId>(), r.id = u.text(), r.remember_until = u.number<Time>();
+      return r;
+    }
+    case Kind::fact: {
+      record::Fact r;
+      r.key = u.text(), r.value = u.text();
+      return r;
+    }
+    case Kind::dropped:
+      return record::Dropped{u.number<SegmentNumber>()};
+    case Kind::anchor:
+      return take_anchor(u);
+  }
+  u.refuse();
+  return Anchor{};
+}
+
+}  // namespace
+
+std::optional<Record> decode(Kind kind, std::string_view payload) {
+  Unpacker u(payload);
+  Record r = take(kind, u);
+  if (!u.whole()) return std::nullopt;
+  return r;
+}
+
+std::uint32_t sum_of(Salt salt, std::string_view bytes) {
+  boost::crc_32_type crc;
+  crc.process_bytes(&salt, sizeof salt);
+  crc.process_bytes(bytes.data(), bytes.size());
+  return crc.checksum();
+}
+
+std::optional<FrameHeader> read_header(Salt salt, std::string_view bytes) {
+  if (bytes.size() < kHeaderBytes || bytes[0] != kMagic0 || bytes[1] != kMagic1) return std::nullopt;
+  std::uint32_t sum = 0;
+  std::memcpy(&sum, bytes.data() + 16, sizeof sum);
+  if (sum != sum_of(salt, bytes.substr(0, 16))) return std::nullopt;
+  FrameHeader h;
+  h.last = (bytes[2] & kLast) != 0;
+  h.kind = static_cast<Kind>(bytes[3]);
+  std::memcpy(&h.size, bytes.data() + 4, sizeof h.size);
+  std::memcpy(&h.sequence, bytes.data() + 8, sizeof h.sequence);
+  if (h.size > kMostPayload) return std::nullopt;
+  return h;
+}
+
+// Header: 'H' 'V', flags, kind, length of the payload (4 bytes), sequence number (8), sum of these 16 (4).
+template <class Write>
+std::size_t Batch::frame(Kind kind, Write write) {
+  const std::size_t begin = text_.size();
+  frames_.push_back(begin);
+  const char head[4] = {kMagic0, kMagic1, 0, static_cast<char>(kind)};
+  text_.append(head, sizeof head);
+  text_.append(kHeaderBytes - sizeof head, '\0');
+  Packer p(text_);
+  write(p);
+  const std::size_t from = begin + kHeaderBytes;
+  const auto size = static_cast<std::uint32_t>(text_.size() - from);
+  std::memcpy(text_.data() + begin + 4, &size, sizeof size);
+  p.number(sum_of(salt_, std::string_view(text_).substr(from, size)));
+  return text_.size() - begin;
+}
+
+std::size_t Batch::add(MessageId number, const Held& held) {
+  return frame(Kind::taken, [&](Packer& p) { put(p, number, held); });
+}
+std::size_t Batch::add(const Record& r) {
+  return frame(kind_of(r), [&](Packer& p) { std::visit(Put{p}, r); });
+}
+
+const std::string& Batch::stamped(Sequence first) {
+  for (std::size_t i = 0; i < frames_.size(); i++) {
+    char* const head = text_.data() + frames_[i];
+    head[2] = i + 1 == frames_.size() ? kLast : 0;
+    const Sequence sequence = first + i;
+    std::memcpy(head + 8, &sequence, sizeof sequence);
+    const std::uint32_t sum = sum_of(salt_, {head, 16});
+    std::memcpy(head + 16, &sum, sizeof sum);
+  }
+  return text_;
+}
+
+std::size_t taken_bytes(const Message& m) {
+  return kFrameBytes + 8 + 4 * 4 + m.id.size() + m.message_class.size() + m.tenant.size() + m.body.size() +
+         16 + 1 + 4 + 1 + 8 + 1;
+}
+std::size_t over_bytes(const std::string& id) { return kFrameBytes + 20 + id.size(); }
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/replay.cpp
@@ -0,0 +1,110 @@
+#include "store/replay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heronvane::store {
+namespace {
+
+constexpr std::uint64_t kLeastFrame = kFrameBytes + 8;
+
+}  // namespace
+
+void Replay::missing(Sequence from, Sequence to) {
+  if (to <= from) return;
+  counts_.missing += to - from;
+  last_missing_ = std::max(last_missing_, to - 1);
+}
+
+void Replay::count_pending() {
+  for (auto& p : pending_) {
+    counts_.records++;
+    next_ = std::max(next_, p.sequence + 1);
+    apply_(std::move(p.record), p.sequence, p.bytes, p.segment);
+  }
+  pending_.clear();
+}
+
+void Replay::gone(std::optional<Sequence> upto) {
+  count_pending();
+  missing(next_, std::max(upto.value_or(next_ + 1), next_ + 1));
+  next_ = std::max(next_, upto.value_or(next_));
+  between_ = true;
+}
+
+void Replay::end(std::optional<Sequence> upto) {
+  if (!upto) return;
+  if (expected() < *upto) {
+    count_pending();
+    missing(next_, *upto);
+  } else if (!pending_.empty() && *upto <= pending_.front().sequence) {
+    // What could not be written to its end was never acted on.
+    counts_.torn += pending_.size();
+    pending_.clear();
+  }
+  count_pending();
+  next_ = std::max(next_, *upto);
+  damage_ = false, damage_records_ = 0;
+  between_ = true;
+}
+
+void Replay::found(const Frame& frame) {
+  const Sequence sequence = frame.header.sequence;
+  auto record = decode(frame.header.kind, frame.payload);
+  if (!record) return found(DamagedStretch{frame.offset, frame.offset + frame.bytes()});
+  const auto* const head = std::get_if<record::Segment>(&*record);
+  if (sequence < expected()) {
+    // Counted already, unless a later life began anew there.
+    if (sequence < next_ && head == nullptr) return;
+    const auto again = std::find_if(pending_.begin(), pending_.end(),
+                                    [&](const Pending& p) { return p.sequence >= sequence; });
+    counts_.torn += static_cast<std::uint64_t>(pending_.end() - again);
+    pending_.erase(again, pending_.end());
+  } else if (sequence > expected() && (!between_ || damage_)) {
+    count_pending();
+    missing(begun_ ? next_ : sequence - std::min(damage_records_, sequence - 1), sequence);
+  }
+  begun_ = true;
+  between_ = damage_ = false;
+  damage_records_ = 0;
+  pending_.push_back({std::move(*record), sequence, frame.bytes(), segment_});
+  if (!frame.header.last) return;
+  next_ = sequence + 1;
+  count_pending();
+}
+
+void Replay::found(const DamagedStretch& damage) {
+  counts_.stretches++;
+  counts_.damaged_bytes += damage.to - damage.from;
+  damage_ = true;
+  damage_records_ += (damage.to - damage.from) / kLeastFrame + 1;
+}
+
+void Replay::found(OldRecord&& old) {
+  begun_ = true;
+  next_ = old.offset + 2;
+  counts_.records++;
+  apply_(std::move(old.record), old.offset + 1, old.bytes, segment_);
+}
+
+void Replay::old_damage(const DamagedStretch& damage) {
+  counts_.stretches++;
+  counts_.damaged_bytes += damage.to - damage.from;
+  counts_.missing++;
+  // The file's first line holds no record.
+  if (damage.from > 0) last_missing_ = std::max(last_missing_, damage.to);
+}
+
+void Replay::finish() {
+  if (damage_) {
+    // Nothing whole stands behind it: it may have covered so many records.
+    count_pending();
+    missing(next_, next_ + damage_records_);
+    next_ += damage_records_;
+    return;
+  }
+  counts_.torn += pending_.size();
+  pending_.clear();
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/scan.cpp
@@ -0,0 +1,198 @@
+#include "store/scan.hpp"
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <cstring>
+#include <string>
+
+namespace heronvane::store {
+
+std::optional<Frame> Scan::frame_at(std::size_t offset) const {
+  const auto header = read_header(salt_, bytes_.substr(offset));
+  if (!header || bytes_.size() - offset - kHeaderBytes < header->size + kSumBytes) return std::nullopt;
+  const auto payload = bytes_.substr(offset + kHeaderBytes, header->size);
+  std::uint32_t sum = 0;
+  std::memcpy(&sum, payload.data() + payload.size(), sizeof sum);
+  if (sum != sum_of(salt_, payload)) return std::nullopt;
+  return Frame{offset, *header, payload};
+}
+
+std::optional<Found> Scan::next() {
+  const std::size_t from = at_, left = bytes_.size() - from;
+  if (left == 0) return std::nullopt;
+  if (const auto frame = frame_at(from)) {
+    at_ += frame->bytes();
+    return *frame;
+  }
+  const auto header = read_header(salt_, bytes_.substr(from));
+  const bool cut = header ? left < kFrameBytes + header->size : left < kHeaderBytes;
+  if (cut) {
+    at_ = bytes_.size();
+    return TornEnd{from, at_};
+  }
+  // A header that is whole tells where its frame ends, whatever became of the payload.
+  if (header) {
+    at_ += kFrameBytes + header->size;
+    return DamagedStretch{from, at_};
+  }
+  for (at_ = from + 1; at_ < bytes_.size(); at_++) {
+    const auto* const found =
+        static_cast<const char*>(std::memchr(bytes_.data() + at_, 'H', bytes_.size() - at_));
+    if (found == nullptr) break;
+    at_ = static_cast<std::size_t>(found - bytes_.data());
+    // Also a header alone: what it stands before is cut off or damaged by itself.
+    if (read_header(salt_, bytes_.substr(at_))) return DamagedStretch{from, at_};
+  }
+  at_ = bytes_.size();
+  return DamagedStretch{from, at_};
+}
+
+namespace {
+
+constexpr std::string_view kOldMagic = "heronvane journal 1\n";
+constexpr std::string_view kOldMagicAnyVersion = "heronvane journal ";
+constexpr std::size_t kOldFrame = 8;
+
+class OldFields {
+ public:
+  explicit OldFields(std::string_view text) : text_(text) {}
+  template <class T>
+  T number() {
+    T v{};
+    if (good_ && text_.size() >= sizeof v) {
+      std::memcpy(&v, text_.data(), sizeof v);
+      text_.remove_prefix(sizeof v);
+    } else {
+      good_ = false;
+    }
+    return v;
+  }
+  std::string text() {
+    const auto size = number<std::uint32_t>();
+    if (!good_ || text_.size() < size) {
+      good_ = false;
+      return {};
+    }
+    std::string t(text_.substr(0, size));
+    text_.remove_prefix(size);
+    return t;
+  }
+  bool flag() {
+    const auto v = number<std::uint8_t>();
+    good_ = good_ && v <= 1;
+    return v == 1;
+  }
+  bool whole() const { return good_ && text_.empty(); }
+  void refuse() { good_ = false; }
+
+ private:
+  std::string_view text_;
+  bool good_ = true;
+};
+
+std::optional<Record> old_record(std::string_view payload) {
+  OldFields in(payload);
+  const char kind = in.number<char>();
+  const auto number = in.number<MessageId>();
+  Record record;
+  switch (kind) {
+    case 'T': {
+      record::Taken r;
+      Message& m = r.held.message;
+      r.number = number, m.id = in.text(), m.message_class = in.text(), m.tenant = in.text();
+      m.destination = in.number<std::int64_t>(), m.deadline = in.number<Time>();
+      m.repeat = in.flag(), m.body = in.text();
+      record = std::move(r);
+      break;
+    }
+    case 'S': {
+      const auto at = in.number<Time>();
+      record = record::Sent{number, kNextAttempt, at, in.number<std::int32_t>()};
+      break;
+    }
+    case 'O': {
+      const auto attempt = in.number<std::int32_t>();
+      const auto outcome = in.number<std::uint8_t>();
+      if (attempt < 0 || outcome > static_cast<int>(Outcome::not_sent)) in.refuse();
+      record = record::Ended{number, static_cast<std::uint32_t>(attempt), static_cast<Outcome>(outcome)};
+      break;
+    }
+    case 'E': {
+      const bool deferred = in.flag();
+      record = record::GivenUp{number, {deferred, in.number<Time>()}};
+      break;
+    }
+    case 'X':
+      record = record::Over{number, {}, 0};
+      break;
+    default:
+      return std::nullopt;
+  }
+  if (!in.whole()) return std::nullopt;
+  return record;
+}
+
+}  // namespace
+
+OldScan::OldScan(std::string_view bytes) : bytes_(bytes) {
+  const std::size_t compared = std::min(bytes.size(), kOldMagic.size());
+  if (bytes.substr(0, compared) == kOldMagic.substr(0, compared)) {
+    at_ = compared;  // shorter than its line: the first write was cut off
+    return;
+  }
+  const auto alike = [&] {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < compared; i++) n += bytes[i] == kOldMagic[i];
+    return n;
+  };
+  if (bytes.substr(0, kOldMagicAnyVersion.size()) == kOldMagicAnyVersion && bytes.size() > kOldMagic.size() &&
+      !record_at(kOldMagic.size())) {
+    head_ = Head::unknown_version;
+    return;
+  }
+  // Damage in the line: what stands behind it, or most of the line, tells that it is one.
+  if (bytes.size() >= kOldMagic.size() && (record_at(kOldMagic.size()) || 2 * alike() > kOldMagic.size()))
+    head_ = Head::damaged;
+  else
+    head_ = Head::foreign;
+}
+
+std::optional<OldRecord> OldScan::record_at(std::size_t offset) const {
+  if (bytes_.size() - offset < kOldFrame) return std::nullopt;
+  std::uint32_t size = 0, sum = 0;
+  std::memcpy(&size, bytes_.data() + offset, 4);
+  std::memcpy(&sum, bytes_.data() + offset + 4, 4);
+  // The least payload is a kind and a number.
+  if (size < 9 || size > kMostPayload || bytes_.size() - offset - kOldFrame < size) return std::nullopt;
+  const auto payload = bytes_.substr(offset + kOldFrame, size);
+  boost::crc_32_type crc;
+  crc.process_bytes(payload.data(), payload.size());
+  if (crc.checksum() != sum) return std::nullopt;
+  auto record = old_record(payload);
+  if (!record) return std::nullopt;
+  return OldRecord{offset, kOldFrame + size, std::move(*record)};
+}
+
+std::optional<OldFound> OldScan::next() {
+  const std::size_t from = at_;
+  if (head_ == Head::damaged && from == 0) {
+    at_ = kOldMagic.size();
+    return DamagedStretch{0, at_};
+  }
+  if (from >= bytes_.size()) return std::nullopt;
+  if (auto record = record_at(from)) {
+    at_ += record->bytes;
+    return std::move(*record);
+  }
+  for (at_ = from + 1; at_ + kOldFrame <= bytes_.size(); at_++)
+    if (record_at(at_)) return DamagedStretch{from, at_};
+  at_ = bytes_.size();
+  std::uint32_t size = 0;
+  if (bytes_.size() - from >= kOldFrame) std::memcpy(&size, bytes_.data() + from, 4);
+  // Nothing whole behind it: a frame that is longer than what is left was cut off.
+  const std::size_t left = bytes_.size() - from;
+  if (left < kOldFrame || (size <= kMostPayload && left - kOldFrame < size)) return TornEnd{from, at_};
+  return DamagedStretch{from, at_};
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/store.cpp
@@ -0,0 +1,150 @@
+#include "store/store.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heronvane::store {
+namespace {
+
+// Written and not synced yet: past this nothing more is taken on, else a stuck disk would fill the memory.
+constexpr std::uint64_t kMostUnsynced = 8 << 20;
+constexpr std::size_t kMostFact = 4096;  // bytes of a key with its value
+
+}  // namespace
+
+Store::Store(Disk& disk, Options options, Syncer* syncer)
+    : disk_(disk),
+      options_(std::move(options)),
+      syncer_(syncer),
+      clock_(options_.boot, options_.clocks),
+      pending_(0) {
+  if (options_.durability == Durability::machine && syncer_ == nullptr)
+    throw StoreError("state folder: durability for the machine needs a syncer");
+  recover();
+}
+
+Store::~Store() {
+  *alive_ = false;
+  if (active_) disk_.close(active_->file);
+  for (const FileId file : unsynced_files_) disk_.close(file);
+  if (reserve_ >= 0) disk_.close(reserve_);
+}
+
+// ---- What there is room for. ----
+Room Store::room() const { return {options_.limit_bytes, used_, pending_.bytes(), booked_}; }
+
+Booked Store::cost(const Message& m) const {
+  return cost_of(m, options_.attempts_max, options_.remembers(m));
+}
+
+void Store::unbook(const Booked& c) {
+  booked_.messages -= c.messages, booked_.later -= c.later, booked_.ids -= c.ids;
+}
+
+bool Store::admit(const Message& message) {
+  if (troubled() || unsynced_bytes_ > kMostUnsynced) return false;
+  const Booked c = cost(message);
+  if (!admits(room(), c) || !ensure_reserve(booked_.later + c.later)) return false;
+  booked_.messages += c.messages, booked_.later += c.later, booked_.ids += c.ids;
+  return true;
+}
+
+void Store::give_back(const Message& message) { unbook(cost(message)); }
+
+std::string Store::trouble() const {
+  if (!failure_.empty()) return failure_;
+  if (reserve_short_) return "no room on the volume for the records of what is held";
+  if (over_limit())
+    return "its files hold " + std::to_string(used_) + " bytes, more than the limit of " +
+           std::to_string(options_.limit_bytes);
+  return {};
+}
+
+// Where the limit was lowered under what is there, its records may still be written; as files go, that room
+// goes with them.
+void Store::lower_ceiling() {
+  const std::uint64_t need = used_ + booked_.later + headroom(options_.limit_bytes);
+  ceiling_ = std::max(options_.limit_bytes, std::min(ceiling_, need));
+}
+
+// ---- Changes. ----
+void Store::add(const Record& record) {
+  const std::size_t bytes = pending_.add(record);
+  pending_notes_.push_back(note_of(record, bytes));
+}
+
+void Store::take(MessageId number, Message message) {
+  Held held;
+  held.message = std::move(message);
+  const std::size_t bytes = pending_.add(number, held);
+  Note note;
+  note.kind = Kind::taken, note.number = number, note.bytes = static_cast<std::uint32_t>(bytes);
+  pending_notes_.push_back(std::move(note));
+  table_.taken(number, std::move(held));
+}
+
+void Store::sent(MessageId number, Time when, int zone) {
+  const record::Sent r{number, static_cast<std::uint32_t>(held().at(number).attempts.size()), when, zone};
+  add(r);
+  table_.sent(r);
+}
+
+void Store::outcome(MessageId number, int attempt, Outcome outcome) {
+  const record::Ended r{number, static_cast<std::uint32_t>(attempt), outcome};
+  add(r);
+  table_.ended(r);
+}
+
+void Store::ending(MessageId number, Ending ending) {
+  const record::GivenUp r{number, ending};
+  add(r);
+  table_.given_up(r);
+}
+
+void Store::over(MessageId number, bool was_told) {
+  const Held* h = find(number);
+  if (h == nullptr) return;
+  const Message& m = h->message;
+  const bool remember = was_told && options_.remembers(m);
+  Booked c = cost(m);
+  if (remember) c.ids = 0;  // booked on until it is forgotten
+  unbook(c);
+  record::Over r{number, {}, 0};
+  if (remember) r.id = m.id, r.remember_until = std::max(m.deadline, clock_.now()) + options_.remember_window;
+  add(r);
+  if (const auto other = table_.over(r)) {
+    booked_.ids -= over_bytes(r.id);
+    ledger_.forget_id(*other);
+  }
+}
+
+bool Store::keep(const std::string& key, const std::string& value) {
+  const auto it = facts().find(key);
+  if (it == facts().end() ? value.empty() : it->second == value) return true;
+  const std::uint64_t bytes = key.size() + value.size();
+  if (!value.empty() &&
+      (bytes > kMostFact || table_.fact_bytes() + bytes > options_.limit_bytes / 100 * kFactShare))
+    return false;
+  const record::Fact r{key, value};
+  add(r);
+  table_.fact(r);
+  return true;
+}
+
+bool Store::commit() {
+  const Time now = clock_.now();
+  for (const auto& forgotten : table_.expire(now)) {
+    booked_.ids -= over_bytes(forgotten.id);
+    ledger_.forget_id(forgotten.number);
+  }
+  if (!rewrite_.empty() && !write_again()) return false;
+  // Room that the volume did not have for what is held is asked for again.
+  if (reserve_short_) ensure_reserve(booked_.later);
+  if (pending_.empty() && failure_.empty()) return true;
+  // A write that failed is tried again, be it with nothing but the time.
+  constexpr Time kAnchorEach = 1'000'000;
+  if (pending_.empty() || now - anchored_ >= kAnchorEach) add(clock_.anchor()), anchored_ = now;
+  return write(pending_, pending_notes_);
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/store.hpp
@@ -0,0 +1,242 @@
+// The folder that lasts: what the relay has taken on, what it tried, what it still owes, and what the rules
+// need of all that over a restart.
+//
+// Records go to segments, files that are only appended to; each start begins a new one. What is live in a
+// segment is written anew, in bounded steps, and the segment removed, the one with least that is live first.
+// All files together stay under the limit at every instant. docs/design/store.md tells why; store-format.md
+// the bytes.
+//
+// Changes are seen at once in held(), remembers() and facts(); nothing may be acted on before commit() has
+// returned true and durable() has reached what written() was then.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/message.hpp"
+#include "store/admission.hpp"
+#include "store/disk.hpp"
+#include "store/lasting_clock.hpp"
+#include "store/ledger.hpp"
+#include "store/records.hpp"
+#include "store/replay.hpp"
+#include "store/table.hpp"
+
+namespace heronvane::store {
+
+// What a plan's records must outlast before it is carried out.
+enum class Durability {
+  process,  // SIGKILL: written is enough
+  machine   // power loss: synced
+};
+
+// Syncs files on a thread of its own, and tells on the caller's when it is done. The files stay open until
+// then.
+class Syncer {
+ public:
+  virtual ~Syncer() = default;
+  virtual void sync(std::vector<FileId> files, bool folder, std::function<void(std::error_code)> done) = 0;
+};
+
+struct Options {
+  std::uint64_t limit_bytes = 0;  // of all files, each counted in whole 512 bytes
+  int attempts_max = 8;           // for which room is set aside with each message
+  Durability durability = Durability::process;
+  Time remember_window = 10'000'000;  // an id is remembered so long past its message's deadline
+  // Whether a message's id is to be remembered once it is over: where it must not run again.
+  std::function<bool(const Message&)> remembers = [](const Message&) { return true; };
+  std::function<void(const std::string&)> log = [](const std::string&) {};
+  std::string boot = system_boot();
+  ReadClocks clocks = system_clocks;
+};
+
+// What stands in the way of a start: another version's files, or files that are none of the store's.
+class StoreError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// What was found at the start.
+struct Recovery {
+  Replay::Counts counts;
+  std::vector<std::string> damaged;  // files, and from which byte on
+  std::size_t messages = 0, doubtful = 0;
+  std::uint64_t segments = 0, bytes = 0;
+};
+
+class Store {
+ public:
+  // Reads what is there; `disk` must outlive it, as `syncer`, which Durability::machine needs. Throws
+  // StoreError or std::system_error, having changed nothing.
+  Store(Disk& disk, Options options, Syncer* syncer = nullptr);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
+
+  const Recovery& recovery() const { return recovery_; }
+  const LastingClock& clock() const { return clock_; }
+
+  // By their numbers, which ascend in the order in which they were taken on.
+  const std::map<MessageId, Held>& held() const { return table_.held(); }
+  const Held* find(MessageId number) const { return table_.find(number); }
+  std::size_t open() const { return held().size() - table_.given_up(); }
+  MessageId next_number() const { return table_.next_number(); }
+  // Whether a message of that id is over and must not run again.
+  bool remembers(const std::string& id) const { return table_.remembers(id); }
+  const std::map<std::string, std::string>& facts() const { return table_.facts(); }
+
+  // Sets room aside for a message and all its later records; false, with nothing set aside, where there is
+  // none now. Each that was admitted must be taken, or given back.
+  bool admit(const Message& message);
+  void give_back(const Message& message);
+  void take(MessageId number, Message message);  // numbers ascend, from next_number() on
+  void sent(MessageId number, Time when, int zone);
+  void outcome(MessageId number, int attempt, Outcome outcome);
+  void ending(MessageId number, Ending ending);
+  // Nothing is owed any more. Its id is remembered where that is asked for and `was_told`: its client knows
+  // that it was taken on.
+  void over(MessageId number, bool was_told = true);
+  // Other things to keep, by key; false where their share of the disk is used up. An empty value drops it.
+  bool keep(const std::string& key, const std::string& value);
+
+  // Writes what was added, all or nothing; false where the disk won't take it now: it is kept for the next
+  // commit.
+  bool commit();
+  // Of records: written by the last commit; outlasting what the durability asks for.
+  Sequence written() const { return next_ - 1; }
+  Sequence durable() const { return synced_; }
+  // Called when durable() has moved on, or a sync has failed; Durability::machine only.
+  void on_sync(std::function<void()> told) { on_sync_ = std::move(told); }
+
+  enum class Step { idle, more, blocked };
+  // Something is to be done by compact().
+  bool wants_compaction() const;
+  // One bounded step. `blocked`: nothing can be done before something changes or time passes.
+  Step compact();
+
+  // Why nothing is taken on, until it mends by itself; empty where all is well.
+  std::string trouble() const;
+  std::uint64_t bytes() const { return used_; }  // of all files
+  std::uint64_t limit() const { return options_.limit_bytes; }
+  const std::map<SegmentNumber, Ledger::Segment>& segments() const { return ledger_.segments(); }
+  std::uint64_t written_bytes() const { return written_bytes_; }  // since the start, by anything
+  std::uint64_t copied_bytes() const { return copied_bytes_; }    // of these, by compaction
+
+ private:
+  struct Active {
+    SegmentNumber number = 0;
+    FileId file = -1;
+    std::uint64_t size = 0;
+  };
+  struct Written {  // not synced yet
+    Batch batch;
+    std::vector<Note> notes;
+    Sequence last = 0;
+  };
+  struct Victim {
+    SegmentNumber number = 0;
+    std::size_t at = 0;
+    Sequence moved = 0;  // the last record written anew
+  };
+  struct Doomed {  // its records stand elsewhere; its file goes once that is durable
+    SegmentNumber number = 0;
+    Sequence after = 0;
+    bool set_aside = false;
+  };
+
+  // recovery.cpp
+  struct Listing;
+  void recover();
+  Listing list_folder();
+  void adopt_old(Listing& listing);
+  void read_roster(Listing& listing);
+  void read_segments(Listing& listing);
+  void read_segment(const Listing& listing, SegmentNumber number, const std::string& bytes, Replay& replay);
+  std::string read_whole(const std::string& name);
+  void apply(Record&& record, Sequence sequence, std::size_t bytes, SegmentNumber segment);
+  void settle_doubt(Sequence last_missing);
+  void sync_all();
+  void tell_recovery();
+
+  // writing.cpp
+  void add(const Record& record);
+  bool write(Batch& batch, std::vector<Note>& notes);
+  std::error_code try_write(const Batch& batch, const std::string& bytes);
+  std::error_code roll();
+  void written(Batch& batch, std::vector<Note>& notes);
+  void seal();
+  bool ensure_reserve(std::uint64_t later);
+  void release_reserve();
+  void sync();
+  void synced(Sequence upto, bool folder, const std::vector<FileId>& closing, std::error_code bad);
+  bool write_again();
+  void failed(const std::string& what);
+
+  // compaction.cpp
+  std::optional<SegmentNumber> best_victim() const;
+  bool may_go(SegmentNumber number) const;
+  bool many_small() const;
+  bool is_doomed(SegmentNumber number) const;
+  Step move_step();
+  Step doom(SegmentNumber number);
+  Step finish_doomed();
+  bool remove_file(const Doomed& doomed);
+
+  bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit(); }
+  bool over_limit() const { return used_ > options_.limit_bytes; }
+  void lower_ceiling();
+  Room room() const;
+  Booked cost(const Message& message) const;
+  void unbook(const Booked& cost);
+  const std::string& name_of(SegmentNumber number) const { return names_.at(number); }
+
+  Disk& disk_;
+  Options options_;
+  Syncer* syncer_;
+  LastingClock clock_;
+  Salt salt_ = 0;
+  Table table_;
+  Ledger ledger_;
+  Recovery recovery_;
+  // While recovering: of the last record that holds all of a message; messages of format 1, in wall time.
+  std::unordered_map<MessageId, Sequence> whole_state_;
+  Time wall_to_lasting_ = 0;
+
+  Batch pending_;
+  std::vector<Note> pending_notes_;
+  std::optional<Active> active_;
+  SegmentNumber last_number_ = 0;
+  Sequence next_ = 1;
+  std::map<SegmentNumber, std::string> names_;  // of the segments' files
+  std::uint64_t used_ = 0, ceiling_ = 0;
+  std::uint64_t written_bytes_ = 0, copied_bytes_ = 0;
+  Booked booked_;
+  Time anchored_ = 0;
+
+  FileId reserve_ = -1;
+  std::uint64_t reserve_bytes_ = 0;
+  bool reserve_short_ = false, reserve_off_ = false;
+  std::string failure_;  // of the last write; empty where it went well
+
+  std::optional<Victim> victim_;
+  std::vector<Doomed> doomed_;
+  std::set<SegmentNumber> stuck_;
+
+  Sequence synced_ = 0;
+  bool syncing_ = false, folder_dirty_ = false;
+  std::vector<FileId> unsynced_files_;      // that are not written to any more
+  std::deque<Written> unsynced_, rewrite_;  // to be written once more, since their sync failed
+  std::uint64_t unsynced_bytes_ = 0;
+  std::function<void()> on_sync_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for syncs that end after the store
+};
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/table.cpp
@@ -0,0 +1,137 @@
+#include "store/table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace heronvane::store {
+namespace {
+
+// Attempts that a damaged record may name: more makes no sense, and none is made up past it.
+constexpr std::uint32_t kMostAttempts = 10'000;
+
+}  // namespace
+
+const Held* Table::find(MessageId number) const {
+  const auto it = held_.find(number);
+  return it == held_.end() ? nullptr : &it->second;
+}
+Held* Table::held_by(MessageId number) {
+  reserve_numbers(number + 1);
+  const auto it = held_.find(number);
+  return it == held_.end() ? nullptr : &it->second;
+}
+
+void Table::reserve_numbers(MessageId next) { next_number_ = std::max(next_number_, next); }
+
+void Table::taken(MessageId number, Held held) {
+  reserve_numbers(number + 1);
+  const auto [it, fresh] = held_.try_emplace(number);
+  if (!fresh) given_up_ -= it->second.ending.has_value();
+  it->second = std::move(held);
+  given_up_ += it->second.ending.has_value();
+}
+
+void Table::progress(const record::Progress& p) {
+  Held* h = held_by(p.number);
+  if (h == nullptr) return;
+  given_up_ -= h->ending.has_value();
+  h->attempts = p.attempts, h->ending = p.ending, h->doubt = p.doubt;
+  given_up_ += h->ending.has_value();
+}
+
+void Table::sent(const record::Sent& s) {
+  Held* h = held_by(s.number);
+  if (h == nullptr) return;
+  const std::size_t attempt = s.attempt == UINT32_MAX ? h->attempts.size() : s.attempt;
+  if (attempt >= kMostAttempts) return;
+  // An attempt between them whose record is gone has no outcome: it may have run.
+  if (h->attempts.size() <= attempt) h->attempts.resize(attempt + 1);
+  h->attempts[attempt].sent = s.at, h->attempts[attempt].zone = s.zone;
+}
+
+void Table::ended(const record::Ended& e) {
+  Held* h = held_by(e.number);
+  if (h == nullptr || e.attempt >= kMostAttempts) return;
+  if (h->attempts.size() <= e.attempt) h->attempts.resize(e.attempt + 1);
+  h->attempts[e.attempt].outcome = e.outcome;
+}
+
+void Table::given_up(const record::GivenUp& g) {
+  Held* h = held_by(g.number);
+  if (h == nullptr) return;
+  given_up_ += !h->ending;
+  h->ending = g.ending;
+}
+
+std::optional<MessageId> Table::over(const record::Over& o) {
+  reserve_numbers(o.number + 1);
+  if (const auto it = held_.find(o.number); it != held_.end()) forget(it);
+  if (o.id.empty()) return std::nullopt;
+  const auto [it, fresh] = over_.try_emplace(o.id, Remembered{o.number, o.remember_until});
+  std::optional<MessageId> other;
+  if (!fresh) {
+    if (it->second.number != o.number && it->second.until >= o.remember_until) return o.number;
+    if (it->second.number != o.number) {
+      other = it->second.number;
+      over_ids_.erase(*other);
+    }
+    it->second = {o.number, o.remember_until};
+  }
+  over_ids_[o.number] = o.id;
+  expiry_.emplace(o.remember_until, o.id);
+  return other;
+}
+
+std::uint64_t Table::remembered_bytes() const {
+  std::uint64_t bytes = 0;
+  for (const auto& [id, entry] : over_) bytes += over_bytes(id);
+  return bytes;
+}
+
+record::Over Table::over_of(MessageId number) const {
+  const auto it = over_ids_.find(number);
+  if (it == over_ids_.end()) return {number, {}, 0};
+  return {number, it->second, over_.at(it->second).until};
+}
+
+void Table::fact(const record::Fact& f) {
+  const auto it = facts_.find(f.key);
+  if (it != facts_.end()) {
+    fact_bytes_ -= it->first.size() + it->second.size();
+    if (f.value.empty()) {
+      facts_.erase(it);
+      return;
+    }
+    it->second = f.value;
+  } else {
+    if (f.value.empty()) return;
+    facts_.emplace(f.key, f.value);
+  }
+  fact_bytes_ += f.key.size() + f.value.size();
+}
+
+void Table::doubt(MessageId number) {
+  if (Held* h = held_by(number)) h->doubt = true;
+}
+
+std::vector<record::Over> Table::expire(Time now) {
+  std::vector<record::Over> gone;
+  while (!expiry_.empty() && expiry_.begin()->first <= now) {
+    const auto it = over_.find(expiry_.begin()->second);
+    // Remembered anew for longer: that entry's time comes later.
+    if (it != over_.end() && it->second.until <= now) {
+      gone.push_back({it->second.number, it->first, it->second.until});
+      over_ids_.erase(it->second.number);
+      over_.erase(it);
+    }
+    expiry_.erase(expiry_.begin());
+  }
+  return gone;
+}
+
+void Table::forget(std::map<MessageId, Held>::iterator it) {
+  given_up_ -= it->second.ending.has_value();
+  held_.erase(it);
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/table.hpp
@@ -0,0 +1,65 @@
+// What the records say: the messages held, the ids that are over, other facts. No input or output here.
+//
+// The same calls are made while the relay runs and while its records are read again, so that both end alike.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "store/records.hpp"
+
+namespace heronvane::store {
+
+class Table {
+ public:
+  const std::map<MessageId, Held>& held() const { return held_; }
+  const Held* find(MessageId number) const;
+  std::size_t given_up() const { return given_up_; }  // of those held
+  bool remembers(const std::string& id) const { return over_.count(id) > 0; }
+  std::size_t remembered() const { return over_.size(); }
+  std::uint64_t remembered_bytes() const;  // of the records of their ids
+  // That a message is over, as a record; without its id where that is not remembered.
+  record::Over over_of(MessageId number) const;
+  const std::map<std::string, std::string>& facts() const { return facts_; }
+  std::uint64_t fact_bytes() const { return fact_bytes_; }
+  // Above every number that a record named.
+  MessageId next_number() const { return next_number_; }
+  void reserve_numbers(MessageId next);
+
+  // Records of messages that are not held change nothing; that is what is left of those that are over.
+  void taken(MessageId number, Held held);
+  void progress(const record::Progress& p);
+  void sent(const record::Sent& s);
+  void ended(const record::Ended& e);
+  void given_up(const record::GivenUp& g);
+  // The message whose id is not remembered any more, or not at all, because another one's is.
+  std::optional<MessageId> over(const record::Over& o);
+  void fact(const record::Fact& f);
+  void doubt(MessageId number);
+
+  // Forgets the ids whose time is up at `now`; tells which, as they were remembered.
+  std::vector<record::Over> expire(Time now);
+
+ private:
+  Held* held_by(MessageId number);
+  void forget(std::map<MessageId, Held>::iterator it);
+
+  std::map<MessageId, Held> held_;
+  std::size_t given_up_ = 0;
+  struct Remembered {
+    MessageId number = 0;
+    Time until = 0;
+  };
+  std::unordered_map<std::string, Remembered> over_;
+  std::unordered_map<MessageId, std::string> over_ids_;  // by the numbers in it
+  std::multimap<Time, std::string> expiry_;
+  std::map<std::string, std::string> facts_;
+  std::uint64_t fact_bytes_ = 0;
+  MessageId next_number_ = 1;
+};
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/relay/store/writing.cpp
@@ -0,0 +1,226 @@
+// How the store writes: batches to the active segment, the reserve, syncs.
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "store/store.hpp"
+
+namespace heronvane::store {
+namespace {
+
+constexpr std::uint64_t kReserveStep = 64 * 1024;
+constexpr std::size_t kSegmentHead = 256;  // more than the first record takes, but for its list of others
+constexpr std::size_t kOtherBytes = sizeof(SegmentNumber) + sizeof(Sequence);
+
+std::string segment_name(SegmentNumber number, Salt salt) {
+  char text[64];
+  std::snprintf(text, sizeof text, "segment-%010llu-%08x.hv%d", static_cast<unsigned long long>(number), salt,
+                static_cast<int>(kVersion));
+  return text;
+}
+
+}  // namespace
+
+void Store::failed(const std::string& what) {
+  const bool first = failure_.empty();
+  failure_ = what;
+  if (first) options_.log("store: " + what + "; taking nothing on until it can be written");
+}
+
+// All of the batch or, as far as a later start is concerned, nothing. Keeps it, on failure, for another try.
+bool Store::write(Batch& batch, std::vector<Note>& notes) {
+  if (batch.empty()) return true;
+  std::error_code bad;
+  for (int round = 0; round < 2; round++) {
+    const std::uint64_t growth =
+        batch.bytes() + kSegmentHead + kOtherBytes * ledger_.segments().size() + 1024;  // of whole 512 bytes
+    if (used_ + growth > ceiling_ && used_ + growth > options_.limit_bytes) {
+      failed("the limit of " + std::to_string(options_.limit_bytes) + " bytes is reached");
+      return false;
+    }
+    const bool full = active_ && active_->size >= segment_bytes(options_.limit_bytes);
+    const bool large = active_ && active_->size + batch.bytes() > 2 * segment_bytes(options_.limit_bytes);
+    bad = !active_ || full || large ? roll() : std::error_code{};
+    if (!bad) bad = try_write(batch, batch.stamped(next_));
+    if (!bad) {
+      written(batch, notes);
+      if (!std::exchange(failure_, {}).empty()) options_.log("store: written again");
+      return true;
+    }
+    if (bad != std::errc::no_space_on_device || reserve_bytes_ == 0) break;
+    release_reserve();
+    reserve_short_ = true;
+  }
+  failed("can't be written: " + bad.message());
+  return false;
+}
+
+std::error_code Store::try_write(const Batch& batch, const std::string& bytes) {
+  std::size_t done = 0;
+  const auto bad = disk_.write(active_->file, active_->size, bytes, done);
+  written_bytes_ += done;
+  if (!bad) {
+    used_ += on_disk(active_->size + batch.bytes()) - on_disk(active_->size);
+    active_->size += batch.bytes();
+    ledger_.grow(active_->number, batch.bytes());
+    return {};
+  }
+  // Half a batch has no end, so it never counts; yet what is written behind it must begin anew.
+  if (done > 0 && disk_.truncate(active_->file, active_->size)) {
+    used_ += on_disk(active_->size + done) - on_disk(active_->size);
+    ledger_.grow(active_->number, done);
+    seal();
+  } else if (bad == std::errc::io_error) {
+    seal();
+  }
+  return bad;
+}
+
+// The active segment takes nothing more.
+void Store::seal() {
+  if (!active_) return;
+  if (options_.durability == Durability::machine)
+    unsynced_files_.push_back(active_->file);
+  else
+    disk_.close(active_->file);
+  ledger_.closed(active_->number, next_);
+  active_.reset();
+}
+
+std::error_code Store::roll() {
+  record::Segment head;
+  head.number = last_number_ + 1;
+  head.next_message = table_.next_number();
+  head.anchor = clock_.anchor();
+  for (const auto& [number, segment] : ledger_.segments())
+    if (!is_doomed(number)) head.others.push_back({number, segment.end == 0 ? next_ : segment.end});
+  Batch first(salt_);
+  first.add(head);
+  const std::string name = segment_name(head.number, salt_);
+  Active fresh;
+  fresh.number = head.number;
+  if (const auto bad = disk_.open(name, Disk::Access::create, fresh.file)) return bad;
+  last_number_ = head.number;
+  std::size_t done = 0;
+  const auto bad = disk_.write(fresh.file, 0, first.stamped(next_), done);
+  written_bytes_ += done;
+  if (bad) {
+    disk_.close(fresh.file);
+    // One that stays holds no batch: it is taken as torn.
+    if (disk_.remove(name)) used_ += on_disk(done);
+    return bad;
+  }
+  seal();
+  fresh.size = first.bytes();
+  used_ += on_disk(fresh.size);
+  names_[fresh.number] = name;
+  ledger_.add_segment(fresh.number);
+  ledger_.grow(fresh.number, fresh.size);
+  active_ = fresh;
+  next_++;
+  anchored_ = head.anchor.lasting;
+  folder_dirty_ = true;
+  return {};
+}
+
+void Store::written(Batch& batch, std::vector<Note>& notes) {
+  next_ += batch.count();
+  for (auto& note : notes) {
+    // Forgotten while it waited to be written.
+    if (note.kind == Kind::over && note.remembered) note.remembered = !table_.over_of(note.number).id.empty();
+    ledger_.note(note, active_->number);
+  }
+  if (options_.durability == Durability::process) {
+    synced_ = next_ - 1;
+    batch.clear(), notes.clear();
+    return;
+  }
+  unsynced_bytes_ += batch.bytes();
+  unsynced_.push_back({std::exchange(batch, Batch(salt_)), std::exchange(notes, {}), next_ - 1});
+  sync();
+}
+
+// ---- Room set aside on the volume, so that what is held can be ended though others fill it. ----
+bool Store::ensure_reserve(std::uint64_t later) {
+  if (reserve_off_ || (later <= reserve_bytes_ && reserve_bytes_ < 4 * later + 2 * kReserveStep)) {
+    reserve_short_ = false;
+    return true;
+  }
+  const std::uint64_t bytes = (later + kReserveStep - 1) / kReserveStep * kReserveStep;
+  if (bytes < reserve_bytes_) release_reserve();
+  const auto bad = bytes == 0 ? std::error_code{} : disk_.allocate(reserve_, bytes);
+  if (bad == std::errc::operation_not_supported || bad == std::errc::function_not_supported) {
+    reserve_off_ = true;
+    options_.log("store: this file system sets no room aside; a volume filled by others may hold up ends");
+    return true;
+  }
+  const bool was_short = std::exchange(reserve_short_, static_cast<bool>(bad));
+  if (bad) {
+    if (!was_short) options_.log("store: no room to set aside for what is held: " + bad.message());
+    return false;
+  }
+  if (was_short) options_.log("store: room is set aside again");
+  reserve_bytes_ = bytes;
+  return true;
+}
+
+void Store::release_reserve() {
+  if (reserve_ >= 0) disk_.truncate(reserve_, 0);
+  reserve_bytes_ = 0;
+}
+
+// ---- Durability::machine. ----
+// One sync at a time; what is written meanwhile waits for the next, with all that came with it.
+void Store::sync() {
+  if (syncing_ || !rewrite_.empty() || synced_ == next_ - 1) return;
+  syncing_ = true;
+  const Sequence upto = next_ - 1;
+  const bool folder = std::exchange(folder_dirty_, false);
+  auto closing = std::exchange(unsynced_files_, {});
+  auto files = closing;
+  if (active_) files.push_back(active_->file);
+  syncer_->sync(std::move(files), folder,
+                [this, upto, folder, closing, alive = std::weak_ptr(alive_)](std::error_code bad) {
+                  if (alive.expired()) return;
+                  synced(upto, folder, closing, bad);
+                });
+}
+
+void Store::synced(Sequence upto, bool folder, const std::vector<FileId>& closing, std::error_code bad) {
+  syncing_ = false;
+  for (const FileId file : closing) disk_.close(file);
+  if (bad) {
+    // What such a file holds is not known any more, also to a later sync that succeeds: all of it is written
+    // once more, elsewhere.
+    failed("can't be synced: " + bad.message());
+    folder_dirty_ = folder_dirty_ || folder;
+    if (active_) {
+      disk_.close(active_->file);
+      ledger_.closed(active_->number, next_);
+      active_.reset();
+    }
+    for (const FileId file : std::exchange(unsynced_files_, {})) disk_.close(file);
+    rewrite_ = std::exchange(unsynced_, {});
+    unsynced_bytes_ = 0;
+  } else {
+    synced_ = upto;
+    while (!unsynced_.empty() && unsynced_.front().last <= upto) {
+      unsynced_bytes_ -= unsynced_.front().batch.bytes();
+      unsynced_.pop_front();
+    }
+    sync();
+  }
+  if (on_sync_) on_sync_();
+}
+
+bool Store::write_again() {
+  while (!rewrite_.empty()) {
+    auto& one = rewrite_.front();
+    if (!write(one.batch, one.notes)) return false;
+    rewrite_.pop_front();
+  }
+  sync();
+  return true;
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/tests/store/store_test.cpp
@@ -0,0 +1,176 @@
+// The store on a folder in memory: what is found again, the room it takes, what compaction and damage cost.
+#include "store/store.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "memory_disk.hpp"
+
+namespace heronvane::store::testing {
+namespace {
+
+constexpr std::uint64_t kLimit = 1'000'000;
+
+Message message(const std::string& id, std::size_t body = 5) {
+  Message m;
+  m.id = id, m.message_class = "pay-and-order", m.tenant = "acme";
+  m.destination = 7, m.deadline = 1'000'000'000'000'000'000, m.repeat = true;
+  m.body = std::string(body, '\0') + "x";
+  return m;
+}
+
+// What a test says of the clocks.
+struct Clocks {
+  Time boottime = 1'000'000, wall = 1'700'000'000'000'000;
+};
+
+struct Bench {
+  explicit Bench(std::uint64_t limit_bytes = kLimit) : limit(limit_bytes) {}
+  Options options() {
+    Options o;
+    o.limit_bytes = limit;
+    o.boot = boot;
+    o.clocks = [this] { return ClockReading{clocks.boottime, clocks.wall}; };
+    o.remembers = [](const Message& m) { return m.id.back() % 2 == 0; };
+    o.log = [this](const std::string& line) { log += line + "\n"; };
+    return o;
+  }
+  std::unique_ptr<Store> open(Disk& disk) { return std::make_unique<Store>(disk, options()); }
+
+  std::uint64_t limit;
+  Clocks clocks;
+  std::string boot = "first", log;
+};
+
+// What two stores must agree on.
+std::map<MessageId, std::string> told(const Store& s) {
+  std::map<MessageId, std::string> all;
+  for (const auto& [number, h] : s.held()) {
+    std::string& t = all[number];
+    const Message& m = h.message;
+    t = m.id + "/" + m.message_class + "/" + m.tenant + "/" + std::to_string(m.destination) + "/" +
+        std::to_string(m.deadline) + "/" + std::to_string(m.repeat) + "/" +
+        std::to_string(std::hash<std::string>{}(m.body));
+    for (const auto& a : h.attempts)
+      t += " " + std::to_string(a.sent) + ":" + std::to_string(a.zone) + ":" +
+           (a.outcome ? std::to_string(static_cast<int>(*a.outcome)) : "?");
+    if (h.ending) t += " end " + std::to_string(h.ending->deferred) + std::to_string(h.ending->again);
+    if (h.doubt) t += " doubt";
+  }
+  return all;
+}
+
+TEST(Store, FindsAgainWhatWasWritten) {
+  MemoryDisk disk;
+  Bench b;
+  {
+    const auto s = b.open(disk);
+    for (const MessageId n : {1, 2, 3, 4}) {
+      const auto m = message(std::string(1, static_cast<char>('`' + n)));
+      ASSERT_TRUE(s->admit(m));
+      s->take(n, m);
+    }
+    s->sent(1, 1000, 2), s->outcome(1, 0, Outcome::full), s->sent(1, 2000, 1);
+    s->ending(2, {true, 500}), s->over(3), s->over(4);
+    s->keep("drain/x", "41"), s->keep("drain/y", "42"), s->keep("drain/x", "");
+    ASSERT_TRUE(s->commit());
+  }
+  const auto s = b.open(disk);
+  EXPECT_EQ(s->recovery().counts.missing, 0u);
+  ASSERT_EQ(s->held().size(), 2u);
+  const Held& a = s->held().at(1);
+  EXPECT_EQ(a.message.id, "a");
+  EXPECT_EQ(a.message.message_class, "pay-and-order");
+  EXPECT_EQ(a.message.tenant, "acme");
+  EXPECT_EQ(a.message.destination, 7);
+  EXPECT_TRUE(a.message.repeat);
+  EXPECT_EQ(a.message.body, std::string(5, '\0') + "x");
+  ASSERT_EQ(a.attempts.size(), 2u);
+  EXPECT_FALSE(a.attempts[0].may_have_run());
+  EXPECT_TRUE(a.attempts[1].may_have_run());  // no outcome was seen
+  EXPECT_EQ(a.attempts[1].sent, 2000);
+  EXPECT_EQ(a.attempts[1].zone, 1);
+  ASSERT_TRUE(s->held().at(2).ending.has_value());
+  EXPECT_TRUE(s->held().at(2).ending->deferred);
+  EXPECT_EQ(s->held().at(2).ending->again, 500);
+  EXPECT_TRUE(s->remembers("d"));
+  EXPECT_FALSE(s->remembers("c"));
+  EXPECT_EQ(s->facts(), (std::map<std::string, std::string>{{"drain/y", "42"}}));
+  EXPECT_EQ(s->next_number(), 5u);
+}
+
+// Long random lives, restarted now and then: each start finds what the last life had, the files stay under
+// the limit at every instant, and what is over does not come back though its records move.
+TEST(Store, RandomLivesAreFoundAgain) {
+  for (std::uint64_t seed = 1; seed <= 12; seed++) {
+    MemoryDisk disk;
+    Bench b;
+    std::mt19937_64 random(seed);
+    const auto below = [&](std::uint64_t n) { return random() % n; };
+    std::set<std::string> over;
+    std::uint64_t refused = 0, taken = 0;
+    b.limit = seed % 4 == 0 ? 400'000 : kLimit;
+    auto s = b.open(disk);
+    for (int round = 0; round < 4000; round++) {
+      b.clocks.boottime += 5'000, b.clocks.wall += 5'000;
+      for (std::uint64_t n = below(seed % 2 == 0 ? 8 : 3); n > 0; n--) {
+        auto m = message("m" + std::to_string(seed) + "-" + std::to_string(round) + "-" + std::to_string(n),
+                         below(seed % 3 == 0 ? 3 : 30) == 0 ? below(60'000) : below(300));
+        m.deadline = s->clock().now() + 3'000'000;
+        if (!s->admit(m)) {
+          refused++;
+          continue;
+        }
+        s->take(s->next_number(), m);
+        taken++;
+      }
+      std::vector<MessageId> numbers;
+      for (const auto& [number, h] : s->held()) numbers.push_back(number);
+      for (const MessageId number : numbers) {
+        const Held& h = *s->find(number);
+        const bool out = !h.attempts.empty() && !h.attempts.back().outcome;
+        const auto dice = below(100);
+        if (h.ending ? dice < 30 : dice < 5) {
+          over.insert(h.message.id);
+          s->over(number);
+        } else if (!h.ending && dice < 12) {
+          s->ending(number, {below(2) == 0, 100});
+        } else if (!h.ending && out && dice < 40) {
+          s->outcome(number, static_cast<int>(h.attempts.size()) - 1, static_cast<Outcome>(below(8)));
+        } else if (!h.ending && !out && dice < 30 && h.attempts.size() < 8) {
+          s->sent(number, s->clock().now(), static_cast<int>(below(3)) - 1);
+        }
+      }
+      if (below(20) == 0)
+        s->keep("f" + std::to_string(below(40)), below(3) ? std::string(below(100), 'v') : "");
+      ASSERT_TRUE(s->commit()) << b.log;
+      for (int steps = 0; s->wants_compaction() && steps < 3; steps++)
+        ASSERT_NE(s->compact(), Store::Step::blocked) << b.log;
+      ASSERT_LE(disk.peak_bytes(), b.limit);
+      ASSERT_EQ(disk.bytes(), s->bytes());
+      if (below(150) != 0) continue;
+      const auto before = told(*s);
+      const auto facts = s->facts();
+      std::set<std::string> remembered;
+      for (const auto& id : over)
+        if (s->remembers(id)) remembered.insert(id);
+      const auto next = s->next_number();
+      s = nullptr;
+      s = b.open(disk);
+      ASSERT_EQ(s->recovery().counts.missing, 0u) << b.log;
+      ASSERT_EQ(told(*s), before);
+      ASSERT_EQ(s->facts(), facts);
+      ASSERT_EQ(s->next_number(), next);
+      for (const auto& id : over) ASSERT_EQ(s->remembers(id), remembered.count(id) > 0) << id;
+    }
+    EXPECT_GT(taken, 500u);
+    EXPECT_LT(s->segments().size(), 70u);
+    EXPECT_EQ(b.log.find("kept"), std::string::npos) << b.log;
+  }
+}
+
+}  // namespace
+}  // namespace heronvane::store::testing
