Settings: what is no object is named, where members of it were looked for

"Report": 5 in the settings was a segmentation fault, at the start and at SIGHUP: rapidjson looks for members in any value. get() and need() refuse what is no object, naming the field, and find() throws as well. Without it the two tests fail (the process hangs or dies by a signal); now it is one line and exit status 1, and at SIGHUP the old configuration stays.

--- a/adapter/fields.hpp
+++ b/adapter/fields.hpp
@@ -23,13 +23,20 @@
   throw WireError(path + ": " + what);
 }
 
-// The member, or nullptr where it is absent or null.
+inline const Value& as_object(const Value& v, const std::string& path) {
+  if (!v.IsObject()) malformed(path, "must be an object");
+  return v;
+}
+
+// The member, or nullptr where it is absent or null. The caller knows that it is an object; rapidjson reads
+// wild memory where it is none, so that is looked at here too.
 inline const Value* find(const Value& object, const char* name) {
+  if (!object.IsObject()) malformed(name, "stands in what is no object");
   const auto it = object.FindMember(name);
   return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
 }
 inline const Value& need(const Value& object, const char* name, const std::string& path) {
-  const Value* v = find(object, name);
+  const Value* v = find(as_object(object, path), name);
   if (v == nullptr) malformed(path + "." + name, "missing");
   return *v;
 }
@@ -58,10 +65,6 @@
   if (!v.IsBool()) malformed(path, "must be true or false");
   return v.GetBool();
 }
-inline const Value& as_object(const Value& v, const std::string& path) {
-  if (!v.IsObject()) malformed(path, "must be an object");
-  return v;
-}
 inline const Value& as_array(const Value& v, const std::string& path) {
   if (!v.IsArray()) malformed(path, "must be an array");
   return v;
@@ -74,7 +77,7 @@
 }
 template <class Read, class Default>
 auto get(const Value& object, const char* name, const std::string& path, Read read, Default absent) {
-  const Value* v = find(object, name);
+  const Value* v = find(as_object(object, path), name);
   using Result = decltype(read(*v, path));
   return v == nullptr ? static_cast<Result>(absent) : read(*v, path + "." + name);
 }
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,55 @@
+// Configurations that make no sense: one line that names the field, no start, and no change to one that runs.
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+class ConfigTest : public RelayTest {
+ protected:
+  std::string with(const std::string& text, const std::string& by) {
+    std::string c = config();
+    const auto at = c.find(text);
+    if (at == std::string::npos) ADD_FAILURE() << text;
+    return c.replace(at, text.size(), by);
+  }
+  // What the program says of this configuration before it ends.
+  void expect_named(const std::string& text, const std::string& by, const std::string& field) {
+    if (members.empty()) members = member("s-1", endpoint.address());
+    std::filesystem::remove(folder + "/log");
+    spawn(with(text, by));
+    EXPECT_EQ(wait_exit(), 1) << by;
+    const auto log = logged();
+    EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
+    EXPECT_NE(log.find("heronvane: config." + field + ": "), std::string::npos) << log;
+  }
+};
+
+// Members were looked for in what has none: a segmentation fault.
+TEST_F(ConfigTest, WhatIsNoObjectIsNamed) {
+  expect_named("\"Tick\":5000", "\"Tick\":5000,\"Report\":5", "settings.Report");
+  expect_named("\"Tick\":5000", "\"Tick\":5000,\"Report\":\"answers\"", "settings.Report");
+  expect_named("\"Tick\":5000", "\"Tick\":5000,\"Report\":[{}]", "settings.Report");
+  expect_named("\"Tick\":5000", "\"Tick\":5000,\"Tenants\":[5]", "settings.Tenants");
+  expect_named("\"Classes\":[", "\"Classes\":[7,", "settings.Classes");
+  expect_named("\"FamilyInfo\":{", "\"FamilyInfo\":5,\"x\":{", "settings.FamilyInfo");
+  expect_named("\"Rules\":{", "\"Rules\":[],\"x\":{", "settings.Rules");
+  expect_named("\"Limits\":{", "\"Limits\":true,\"x\":{", "settings.Limits");
+  expect_named("\"settings\":{", "\"settings\":\"\",\"x\":{", "settings");
+  expect_named("\"limits\":{", "\"limits\":1.5,\"x\":{", "limits");
+  expect_named("\"known\":{", "\"known\":[],\"x\":{", "known");
+  expect_named("\"endpoints\":[", "\"endpoints\":[[],", "known.endpoints");
+}
+
+TEST_F(ConfigTest, WhatIsNoObjectChangesNothingAtSighup) {
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  reload(with("\"Tick\":5000", "\"Tick\":5000,\"Report\":5"));
+  wait_for([&] { return logged().find("the old one stays: config.settings.Report: ") != std::string::npos; },
+           "the line in the log");
+  EXPECT_EQ(hand_in("m1", "pay-and-order"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(watches.size(), 1u);
+}
+
+}  // namespace
+}  // namespace heronvane::testing
