Notices: the platform's answer is bounded in head and body

An answer to POST /v2/finals with "Content-Length:" ended the relay: Beast 1.74, reading head and body in one go, reserves it. The answer is read by AnswerReader now, as the endpoints' are; one that is broken or too long is a failed post. Seven spoilt answers in turn (lengths, chunk sizes, endless head and body, noise) leave the relay up and the notice told; without the change the test fails at the first. Lists and watches were bounded already; a test of the same answers there passes before and after.

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -4,10 +4,12 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "answer.hpp"
 #include "log.hpp"
 
 namespace heronvane {
@@ -49,9 +51,11 @@
   net::steady_timer timer;
   std::vector<MessageId> ids;
   bool fresh = false, over = false;
-  beast::flat_buffer buffer{64 * 1024};
   http::request<http::string_body> request;
-  http::response<http::string_body> response;
+  // Guards against lengths, heads and bodies that no memory holds: bounded as the endpoints' answers are.
+  AnswerReader answer;
+  std::array<char, 4096> chunk;
+  unsigned status = 0;  // of the whole answer; 0: none came
 };
 
 Platform::Platform(net::io_context& io, const tcp::endpoint& address,
@@ -245,13 +249,7 @@
     http::async_write(*post->socket, post->request, [this, post](error_code unsent, std::size_t) {
       if (post->over) return;
       if (unsent) return posted(post, unsent.message());
-      http::async_read(*post->socket, post->buffer, post->response,
-                       [this, post](error_code failed, std::size_t) {
-                         if (post->over) return;
-                         if (failed) return posted(post, failed.message());
-                         const auto status = post->response.result_int();
-                         posted(post, status == 204 ? "" : "answered " + std::to_string(status));
-                       });
+      read(post);
     });
   };
   if (kept_) {
@@ -264,6 +262,19 @@
   post->socket->async_connect(address_, talk);
 }
 
+void Platform::read(const std::shared_ptr<Post>& post) {
+  post->socket->async_read_some(net::buffer(post->chunk), [this, post](error_code bad, std::size_t size) {
+    if (post->over) return;
+    using State = AnswerReader::State;
+    if (bad && bad != net::error::eof) return posted(post, bad.message());
+    const State state = bad ? post->answer.end() : post->answer.put(post->chunk.data(), size);
+    if (state == State::more) return read(post);
+    if (state == State::broken) return posted(post, bad ? bad.message() : "an answer that can't be read");
+    post->status = post->answer.status();
+    posted(post, post->status == 204 ? "" : "answered " + std::to_string(post->status));
+  });
+}
+
 void Platform::told(const std::vector<MessageId>& ids) {
   for (const MessageId id : ids) owed_.erase(id);
   if (owed_.empty()) most_lines_ = kMostLines;
@@ -277,12 +288,12 @@
   post_.reset();
   if (problem.empty()) {
     backoff_ = kFirstBackoff;
-    if (post->response.keep_alive()) kept_ = post->socket;
+    if (post->answer.reusable()) kept_ = post->socket;
     return told(post->ids);
   }
   error_code ignored;
   post->socket->close(ignored);
-  if (post->response.result_int() == kUnreadable) {
+  if (post->status == kUnreadable) {
     // Guards against one notice that the platform can't read, sent for ever with all that it holds up: they
     // go one by one until it is found, and it goes.
     if (post->ids.size() > 1) {
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -48,6 +48,7 @@
   void end(const std::shared_ptr<Query>& query, const std::string& why);
   void guard(const std::shared_ptr<Query>& query);
   void post();
+  void read(const std::shared_ptr<Post>& post);
   void told(const std::vector<MessageId>& ids);
   void posted(const std::shared_ptr<Post>& post, const std::string& problem);
 
