Log: a line that standard error does not take at once is lost and counted

A full pipe that nobody reads stopped the whole relay in fprintf. Lines are now written only where there is room, whole or not at all; once there is room again one line tells how many were lost. Standard streams that are closed at the start become /dev/null, so that nothing else gets their numbers.

--- a/relay/log.hpp
+++ b/relay/log.hpp
@@ -8,8 +8,24 @@
 
 namespace heronvane {
 
+// Opens /dev/null in place of standard streams that are closed, before anything else is opened: else a
+// journal or a connection gets their numbers, and log lines.
+void open_standard_streams();
+
+// Never waits: a line that standard error does not take at once is lost, and counted. From one thread only;
+// SIGPIPE is taken to be ignored.
 void log(const std::string& line);
 
+// While it lives, looks each second whether lines were lost and can be told of.
+class LostLines {
+ public:
+  explicit LostLines(boost::asio::io_context& io) : timer_(io) { look(); }
+
+ private:
+  void look();
+  boost::asio::steady_timer timer_;
+};
+
 // Guards against a line for each of a crowd's requests, which is a load of its own: a line a second at most.
 class Tally {
  public:
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -25,8 +25,10 @@
 
 int main() {
   try {
+    heronvane::open_standard_streams();
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
+    heronvane::LostLines lost_lines(io);
     // Before anything slow: a signal that comes while the journal is read waits for the loop.
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
     const heronvane::Config config = heronvane::load_config();
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -204,6 +204,8 @@
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
+      if (error_pipe >= 0) ::dup2(error_pipe, STDERR_FILENO);
+      for (int fd = STDIN_FILENO; no_streams && fd <= STDERR_FILENO; fd++) ::close(fd);
       ::execl(HERONVANE_PROGRAM, HERONVANE_PROGRAM, static_cast<char*>(nullptr));
       ::_exit(127);
     }
@@ -316,6 +318,8 @@
   int workers = 8;
   std::string more;  // further members of the configuration
   pid_t child = -1;
+  int error_pipe = -1;      // its standard error, in the log's place
+  bool no_streams = false;  // started without standard streams
   rlim_t largest_file = 0;  // that the program may write; 0: any
   unsigned finals_status = 204;
   int refused_finals = 0;
