--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -27,6 +27,8 @@
   try {
     heronvane::open_standard_streams();
     std::signal(SIGPIPE, SIG_IGN);
+    // A file over the limit is an error of its write, which the journal and the log bear.
+    std::signal(SIGXFSZ, SIG_IGN);
     boost::asio::io_context io(1);
     heronvane::LostLines lost_lines(io);
     // Before anything slow: a signal that comes while the journal is read waits for the loop.
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -198,7 +198,6 @@
       if (std::freopen("/dev/null", "w", stdout) == nullptr) ::_exit(126);
       if (largest_file > 0) {
         const rlimit limit{largest_file, RLIM_INFINITY};
-        ::signal(SIGXFSZ, SIG_IGN);
         ::setrlimit(RLIMIT_FSIZE, &limit);
       }
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
