Times out of range are malformed, naming the field

since_ms of 1e16 in a member list overflowed, as did RemarkMs on the wire, and a tick or deadline of 9e18 us wherever it was added or counted in nanoseconds. Spans of time lie within 115 days (1e13 us), moments within 3170 years (1e17 us) now; what lies outside ends the start with one line, leaves the old configuration at SIGHUP, and makes a list one that can't be read. The three tests fail without it.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -177,7 +177,7 @@
           {{"healthy", Listing::active}, {"cordoned", Listing::draining}, {"deregistered", Listing::gone}},
           where + ".Health");
       entry.endpoint.weight = get(e, "CapacityHint", where, as_number, 1.0);
-      entry.endpoint.since = get(e, "Since", where, as_integer, 0);
+      entry.endpoint.since = get(e, "Since", where, as_moment, 0);
       entry.zone = get(e, "Az", where, as_text, "");
       entry.kind = get(e, "Kind", where, as_text, "");
       entries.push_back(std::move(entry));
@@ -211,7 +211,7 @@
       const std::string cls = get(v, "TierClass", kind, as_text);
       e.message_class = position(tables.classes, cls);
       if (e.message_class < 0) malformed(kind + ".TierClass", ("unknown class '" + cls + "'").c_str());
-      e.time_left = get(v, "TimeLeft", kind, as_integer);
+      e.time_left = get(v, "TimeLeft", kind, as_span);
       e.order_key = get(v, "Subject", kind, as_text, "");
       e.repeat = get(v, "Retry", kind, as_bool, false);
       const Value* tenant = find(v, "Account");
@@ -225,9 +225,9 @@
       e.attempt = get(v, "SendNo", kind, as_int);
       e.endpoint = get(v, "Endpoint", kind, as_text);
       e.outcome = get(v, "Result", kind, read_outcome);
-      e.latency = get(v, "DelaySeen", kind, as_integer, 0);
+      e.latency = get(v, "DelaySeen", kind, as_span, 0);
       e.closed = get(v, "Closed", kind, as_bool, false);
-      if (e.outcome == Outcome::full) e.told_wait = 1000 * get(v, "RemarkMs", kind, as_integer, 0);
+      if (e.outcome == Outcome::full) e.told_wait = get(v, "RemarkMs", kind, as_span_ms, 0);
       e.report = read_report(v, kind);
       return e;
     }
@@ -235,7 +235,7 @@
     if (kind == "REMINDER") return event::TimerDue{get(v, "Tag", kind, as_natural)};
     if (kind == "ECHO") {
       return event::ProbeEnded{get(v, "Endpoint", kind, as_text), get(v, "Result", kind, read_outcome),
-                               get(v, "DelaySeen", kind, as_integer, 0), read_report(v, kind)};
+                               get(v, "DelaySeen", kind, as_span, 0), read_report(v, kind)};
     }
     if (kind == "HEARD") return event::PeerNote{get(v, "From", kind, as_int), get(v, "Body", kind, as_text)};
     malformed(kind, "unknown message kind");
@@ -273,7 +273,7 @@
   const std::string kind = get(v, "kind", "message", as_text);
   if (kind == "ROUND") {
     if (impl_->in_batch) malformed(kind, "the round before has not ended");
-    impl_->now = get(v, "Clock", kind, as_integer);
+    impl_->now = get(v, "Clock", kind, as_moment);
     impl_->in_batch = true;
     return false;
   }
--- a/adapter/fields.hpp
+++ b/adapter/fields.hpp
@@ -49,6 +49,25 @@
   if (!v.IsInt64()) malformed(path, "must be an integer");
   return v.GetInt64();
 }
+inline std::int64_t as_within(std::int64_t most, const Value& v, const std::string& path) {
+  const std::int64_t n = as_integer(v, path);
+  if (n < -most || n > most) malformed(path, "out of range");
+  return n;
+}
+// Guards against times that overflow where they are added, or counted in nanoseconds. A span of time, or a
+// moment by some clock, in microseconds or (_ms) read from milliseconds.
+constexpr std::int64_t kMostSpan = 10'000'000'000'000;         // 115 days
+constexpr std::int64_t kMostMoment = 100'000'000'000'000'000;  // 3170 years
+inline std::int64_t as_span(const Value& v, const std::string& path) { return as_within(kMostSpan, v, path); }
+inline std::int64_t as_span_ms(const Value& v, const std::string& path) {
+  return 1000 * as_within(kMostSpan / 1000, v, path);
+}
+inline std::int64_t as_moment(const Value& v, const std::string& path) {
+  return as_within(kMostMoment, v, path);
+}
+inline std::int64_t as_moment_ms(const Value& v, const std::string& path) {
+  return 1000 * as_within(kMostMoment / 1000, v, path);
+}
 inline std::uint64_t as_natural(const Value& v, const std::string& path) {
   if (!v.IsUint64()) malformed(path, "must be a whole number");
   return v.GetUint64();
--- a/adapter/settings.cpp
+++ b/adapter/settings.cpp
@@ -17,8 +17,8 @@
   ClassSettings c;
   c.worth = get(v, "Points", path, as_number);
   c.late_worth = get(v, "LateWorth", path, as_number, 0.0);
-  c.aim = get(v, "Target", path, as_integer);
-  c.deadline = get(v, "Deadline", path, as_integer);
+  c.aim = get(v, "Target", path, as_span);
+  c.deadline = get(v, "Deadline", path, as_span);
   c.effect = word<Effect>(
       get(v, "Idempotency", path, as_text),
       {{"read_like", Effect::safe}, {"idempotency_key", Effect::keyed}, {"non_idempotent", Effect::unsafe}},
@@ -26,7 +26,7 @@
   c.group = word<KeyGroup>(get(v, "Group", path, as_text, "all"),
                            {{"all", KeyGroup::all}, {"zone", KeyGroup::zone}, {"cell", KeyGroup::cell}},
                            path + ".Group");
-  c.key_window = get(v, "Window", path, as_integer, 0);
+  c.key_window = get(v, "Window", path, as_span, 0);
   c.ordered = get(v, "FifoByKey", path, as_bool, false);
   return c;
 }
@@ -87,26 +87,26 @@
   s.cancelling = get(limits, "Cancelling", limits_path, as_bool, false);
   s.probes = get(limits, "Probes", limits_path, as_bool, false);
   s.peers = get(limits, "Peers", limits_path, as_bool, false);
-  s.connect_timeout = get(limits, "ConnectTimeout", limits_path, as_integer, s.connect_timeout);
-  s.connection_idle = get(limits, "ConnIdle", limits_path, as_integer, s.connection_idle);
-  s.retry_after_max = get(limits, "MaxRetryAfter", limits_path, as_integer, 0);
+  s.connect_timeout = get(limits, "ConnectTimeout", limits_path, as_span, s.connect_timeout);
+  s.connection_idle = get(limits, "ConnIdle", limits_path, as_span, s.connection_idle);
+  s.retry_after_max = get(limits, "MaxRetryAfter", limits_path, as_span, 0);
 
   const std::string rules_path = path + ".Rules";
   const Value& rules = as_object(need(v, "Rules", path), rules_path);
-  s.answer_slack = get(rules, "AnswerSlack", rules_path, as_integer, 0);
-  s.drain_grace = get(rules, "DrainGrace", rules_path, as_integer, 0);
-  s.must_ask_in = get(rules, "MustAskIn", rules_path, as_integer, 0);
-  s.settle_after_doubt = get(rules, "SettleAfterDoubt", rules_path, as_integer, 0);
+  s.answer_slack = get(rules, "AnswerSlack", rules_path, as_span, 0);
+  s.drain_grace = get(rules, "DrainGrace", rules_path, as_span, 0);
+  s.must_ask_in = get(rules, "MustAskIn", rules_path, as_span, 0);
+  s.settle_after_doubt = get(rules, "SettleAfterDoubt", rules_path, as_span, 0);
   s.fall_multiple = get(rules, "FallMultiple", rules_path, as_number, s.fall_multiple);
-  s.overload_for = get(rules, "OverloadFor", rules_path, as_integer, s.overload_for);
+  s.overload_for = get(rules, "OverloadFor", rules_path, as_span, s.overload_for);
   s.cold_from = get(rules, "ColdFrom", rules_path, as_number, s.cold_from);
-  s.cold = get(rules, "Cold", rules_path, as_integer, s.cold);
+  s.cold = get(rules, "Cold", rules_path, as_span, s.cold);
 
   s.over_share_worth = get(v, "OverShareWorth", path, as_number, 1.0);
   s.relays = get(v, "GroupSize", path, as_int, 1);
   s.rank = get(v, "Rank", path, as_int, 0);
   s.zone = position(tables.zones, get(v, "Locality", path, as_text, ""));
-  s.tick = get(v, "Tick", path, as_integer, s.tick);
+  s.tick = get(v, "Tick", path, as_span, s.tick);
   s.subscribe = get(v, "Discovery", path, as_text, "automatic") == "subscribe";
   s.weights = word<WeightKind>(get(v, "WeightKind", path, as_text, "none"),
                                {{"none", WeightKind::none},
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -134,6 +134,12 @@
   EXPECT_EQ(complaint(R"({"kind":"HANGUP","Who":"relay-0","Rid":"x"})"),
             "HANGUP.Rid: must be a whole number");
 }
+TEST_F(Wire, ATimeOutOfRangeIsNamed) {
+  round({start("relay-0")});
+  EXPECT_EQ(complaint(R"({"kind":"RETURNED","Who":"relay-0","Rid":1,"SendNo":0,"Endpoint":"e","Result":30,)"
+                      R"("RemarkMs":9000000000000000000})"),
+            "RETURNED.RemarkMs: out of range");
+}
 TEST_F(Wire, AnUnknownPoolIsNamed) {
   round({start("relay-0")});
   EXPECT_EQ(complaint(sync("relay-0", 4)), "SYNC.RosterId: no such POOL was given");
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -51,5 +51,24 @@
   EXPECT_EQ(watches.size(), 1u);
 }
 
+// Times that overflow where they are reckoned with.
+TEST_F(ConfigTest, TimesOutOfRangeAreNamed) {
+  expect_named("\"Tick\":5000", "\"Tick\":9000000000000000000", "settings.Tick");
+  expect_named("\"Deadline\":6000000", "\"Deadline\":9000000000000000000", "settings.Classes.Deadline");
+  expect_named("\"ConnIdle\":5000000", "\"ConnIdle\":9000000000000000000", "settings.Limits.ConnIdle");
+  expect_named("\"since_ms\":0", "\"since_ms\":10000000000000000", "known.endpoints.since_ms");
+  expect_named("\"since_ms\":0", "\"since_ms\":-10000000000000000", "known.endpoints.since_ms");
+}
+TEST_F(ConfigTest, ATimeOutOfRangeInAListIsNamed) {
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  std::string odd = member("s-1", endpoint.address());
+  const std::string since = "\"since_ms\":0";
+  tell(list(odd.replace(odd.find(since), since.size(), "\"since_ms\":10000000000000000")));
+  wait_for([&] { return watches.size() == 2; }, "a new watch");
+  EXPECT_NE(logged().find("discovery: members.endpoints.since_ms: "), std::string::npos);
+  EXPECT_EQ(hand_in("m1", "pay-and-order"), 202u);
+}
+
 }  // namespace
 }  // namespace heronvane::testing
