--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -25,8 +25,12 @@
 
 int main() {
   try {
+    heronvane::open_standard_streams();
     std::signal(SIGPIPE, SIG_IGN);
+    // A file over the limit is an error of its write, which the store and the log bear.
+    std::signal(SIGXFSZ, SIG_IGN);
     boost::asio::io_context io(1);
+    heronvane::LostLines lost_lines(io);
     // Before anything slow: a signal that comes while the store is read waits for the loop.
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
     const heronvane::Config config = heronvane::load_config();
