Module gives out what it learned of targets and takes it back

After a restart the module knew nothing: it called at once where a wait was told, an endpoint was out or cold, or a limit was met, and knocked returning destinations down again. Dispatcher::learned() gives what changed (health, told waits, LIMD delay, pace, share let through) as records that a store can keep; event::TargetRecalled takes them back without overwriting what is newer.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -104,6 +104,37 @@
   Time since = 0;  // when it was added; 0: long ago
 };
 
+enum class Health { open, closed, ramp };  // ramp: back after an outage, perhaps still cold
+
+// What was learned of an endpoint, and of the target it belongs to: its destination, or the route itself
+// where routes are apart. The default is what is known of a target never called. Times are reckoned from
+// the `now` at which it is given out.
+struct TargetMemory {
+  EndpointId endpoint;
+  DestinationId destination = 0;
+  // The endpoint. What follows its health is meant only where it is not open.
+  Health health = Health::open;
+  Time health_age = 0;    // in it, or closed anew, for so long
+  double usual_rate = 0;  // calls a second of this relay before the trouble
+  double budget = 0;      // calls allowed at once, 0 to 1
+  int fail_run = 0;       // failed calls since the last serve
+  double fail_share = 0;  // share of failing calls, 0 to 1
+  bool doubt = false;     // the last failed call may have run
+  int bundle = 0;         // messages trusted to one call; 0: unknown
+  // The target.
+  Time wait_left = 0;      // of a told wait
+  double delay = 0;        // the LIMD delay in seconds, as aged; 0: none worth keeping
+  double pace = 0;         // calls a second of this relay; 0: unbounded
+  int refusals = 0;        // since the last serve
+  Time refused_age = 0;    // how long ago the first of them was
+  double let_through = 1;  // share of attempts let through after refusals, above 0
+
+  // Nothing is known that is worth keeping: a store can drop its record.
+  bool blank() const {
+    return health == Health::open && wait_left <= 0 && delay <= 0 && pace <= 0 && let_through >= 1;
+  }
+};
+
 namespace event {
 struct ListWhole {
   std::vector<Endpoint> endpoints;
@@ -130,6 +161,19 @@
   std::optional<int> may_have_run_zone;
   Time may_have_run_ago = 0;
 };
+// What an earlier life of this relay had learned (Dispatcher::learned), `age` ago (at least 0). Comes after
+// the list that names its endpoint, best in the same round; ignored where the endpoint is not listed. Where
+// endpoints share a target and the destination is another now, its part is ignored. Values out of range are
+// brought into it.
+// - Of the records of a target's endpoints the latest counts for the target, in whatever order they come.
+// - Nothing overwrites what is newer: only the first record of an endpoint counts, its part only until a call
+//   there has ended, the target's until one at the target has. But a told wait holds in any case.
+// - In the time that passed waits run off, the delay ages and a ramp goes on. A closed endpoint stays as it
+//   was, for nobody looked after it; its next trial comes after a whole jittered delay.
+struct TargetRecalled {
+  TargetMemory memory;
+  Time age = 0;
+};
 struct AttemptEnded {
   MessageId id = 0;
   int attempt = 0;
@@ -158,9 +202,9 @@
 };
 }  // namespace event
 
-using Event =
-    std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::Recovered,
-                 event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote>;
+using Event = std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival,
+                           event::Recovered, event::TargetRecalled, event::AttemptEnded, event::Withdrawn,
+                           event::TimerDue, event::ProbeEnded, event::PeerNote>;
 
 namespace action {
 // Attempts of a message count from 0 in the order of their sends.
@@ -219,7 +263,16 @@
   // in order. `actions` is appended to.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
 
-  // How many endpoints, destinations, messages, order keys and calls are kept: a gauge of memory.
+  // What is worth keeping over a restart and has changed since it was last given, one entry an endpoint, at
+  // most `most` entries; the rest come with the next call. `now` never goes back, here and in handle().
+  // Changes of health and told waits come at once, all others of an endpoint once a second at most, and
+  // only when they are large. What is blank again, or left the list, is given once as blank; that the time
+  // of a wait, a delay or a ramp is up comes so too. A change of a target is given for each of its
+  // endpoints. Costs what has changed, not what is listed. Changes no decision.
+  std::vector<TargetMemory> learned(Time now, std::size_t most);
+
+  // How many endpoints, destinations, messages, order keys, calls and changes to give out are kept: a gauge
+  // of memory.
   std::size_t kept() const;
 
  private:
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1,12 +1,14 @@
 // The decisions of cedarplank. Interface: include/cedarplank/dispatcher.hpp
 //
 // Read top to bottom: constants; what is kept of endpoints, targets and messages; learning from
-// outcomes (LIMD delay, pace, health); the list; the one gate that every send passes; choosing what goes
-// next; ends and timers. docs/design.md tells what comes from the design's source and what is ours.
+// outcomes (LIMD delay, pace, health); what outlasts the process; the list; the one gate that every send
+// passes; choosing what goes next; ends and timers. docs/design.md tells what comes from the design's source
+// and what is ours.
 #include "cedarplank/dispatcher.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <compare>
 #include <deque>
 #include <limits>
 #include <map>
@@ -77,6 +79,11 @@
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
+// What outlasts the process.
+constexpr double kGiveGap = 1;      // seconds between changes given of one endpoint, unless they are urgent
+constexpr double kGiveShare = 0.2;  // change of a delay, a pace or a share that is worth giving
+constexpr double kMootPace = 100;   // calls a second and slot that are never made: bounds nothing
+
 const std::string kNoteRefused = "1r";  // a note between relays: its version, its kind, then the endpoint
 constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
@@ -120,9 +127,29 @@
   double let_through = 1;  // share of attempts let through after refusals that this relay or others met
   Time let_at = -kNever, told_at = -kNever, hold_until = 0;
   Time refused_from = 0;
+  bool heard = false;        // a call ended in this life
+  Time recalled = -kNever;   // when the record that counts was written, in an earlier one
+  Time due = kNever;         // when changes are to be given out; its place in `dirty`
+  Time looked_at = -kNever;  // and when they were last looked for
+  bool given_known = false;  // what was given of one of them may be more than blank
+};
+
+struct Given {  // what a store holds of an endpoint
+  bool known = false;
+  Time at = -kNever;
+  Health health = Health::open;
+  Time since = 0, wait_until = 0;
+  double delay = 0, pace = 0, let_through = 1;
+  int refusals = 0;
 };
 
-enum class Health { open, closed, ramp };
+struct Due {  // names its target by id: endpoints come and go
+  Time at = 0;
+  bool apart = false;
+  DestinationId destination = 0;
+  EndpointId endpoint;
+  auto operator<=>(const Due&) const = default;
+};
 
 struct EndpointState {
   Endpoint info;
@@ -148,7 +175,9 @@
   Time budget_at = 0, next_trial = 0;
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
-  std::uint64_t open_call = 0;  // call begun in this round, for bundling
+  std::uint64_t open_call = 0;           // call begun in this round, for bundling
+  bool heard = false, recalled = false;  // a call ended in this life; a record of an earlier one was taken
+  Given given;
 };
 
 struct DestinationState {
@@ -206,7 +235,9 @@
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
-  std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
+  std::set<EndpointId> ended_at;                           // endpoints at which a call ended in this round
+  std::set<Due> dirty;                                     // targets with changes to give out, soonest first
+  std::deque<std::pair<EndpointId, DestinationId>> swept;  // since they were given as known
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
     shortest_aim = seconds(set.classes[0].aim);
@@ -293,7 +324,9 @@
   void on(const event::PeerNote& ev) {
     if (ev.body.rfind(kNoteRefused, 0) != 0) return;
     const auto it = endpoints.find(ev.body.substr(kNoteRefused.size()));
-    if (it != endpoints.end()) cut_through(target_of(it->second), it->second, false);
+    if (it == endpoints.end()) return;
+    cut_through(target_of(it->second), it->second, false);
+    give_later(it->second);
   }
   void pace_raise(Target& t) {
     const double dt = std::min(seconds(now - t.raise_at), std::max(1.0, 2 / t.pace));
@@ -321,7 +354,7 @@
       e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(),
       e.budget_at = now;
     }
-    if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
+    if (e.health != Health::closed) log("closed " + e.info.id + ": " + why), give_by(e, now);
     e.health = Health::closed;
     e.since = now;
     e.next_trial = now + trial_gap(e);
@@ -349,6 +382,7 @@
       e.health = warm ? Health::open : Health::ramp, e.since = now;
       if (warm) e.fail_run = 0, e.fail_share = 0;
       log((warm ? "warm " : "forgotten ") + e.info.id);
+      give_by(e, now);
       if (warm) return now;
     }
     const Time end = e.since + health_span();
@@ -377,6 +411,7 @@
       e.health = e.fail_run == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
       e.since = e.budget_at = now;
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
+      give_by(e, now);
     }
     for (; e.strays > 0; e.strays--) stray_share += kStrayGain * (1 - stray_share);
     stray_share *= 1 - kStrayGain;
@@ -462,6 +497,153 @@
     ended_at.clear();
   }
 
+  // ---- What outlasts the process. Nothing here may change a decision: no draws, no Rate::at. ----
+  void give_by(EndpointState& e, Time at) {
+    Target& t = target_of(e);
+    if (t.due <= at) return;
+    Due due{t.due, e.apart, e.apart ? 0 : e.info.destination, e.apart ? e.info.id : EndpointId()};
+    if (t.due < kNever) dirty.erase(due);
+    due.at = t.due = at;
+    dirty.insert(std::move(due));
+  }
+  // Called after each outcome: nearly always there is nothing to give, or it is due already.
+  void give_later(EndpointState& e) {
+    const Target& t = target_of(e);
+    const bool known = t.delay > 0 || kept_pace(t) > 0 || t.let_through < 1 || e.health != Health::open;
+    if (known || t.given_known) give_by(e, std::max(now, t.looked_at + micros(kGiveGap)));
+  }
+  double kept_pace(const Target& t) const { return t.pace < kMootPace * set.slots ? t.pace : 0; }
+  // A retry waits the least D in any case, and a busy target never gets under it.
+  double kept_delay(double d) const { return d > 1.001 * kLeast * unit ? d : 0; }
+  double aged_delay(double d, Time age) const {
+    return kept_delay(d * std::exp2(-seconds(age) / (kAgingHalfLife * unit)));
+  }
+  TargetMemory memory_of(const EndpointState& e, const Target& t) const {
+    TargetMemory m;
+    m.endpoint = e.info.id, m.destination = e.info.destination;
+    m.wait_left = std::max<Time>(0, t.wait_until - now);
+    m.delay = kept_delay(delay_now(t)), m.pace = kept_pace(t), m.let_through = let_through(t);
+    m.refusals = t.refusals;
+    if (t.refusals > 0) m.refused_age = now - t.refused_from;
+    // A ramp that is over is noticed with the next message only.
+    if (e.health == Health::open || (e.health == Health::ramp && now >= e.since + health_span())) return m;
+    m.health = e.health, m.health_age = now - e.since, m.usual_rate = e.usual_rate;
+    m.budget = std::clamp(e.budget + ramp_rate(e) * seconds(now - e.budget_at), 0.0, 1.0);
+    m.fail_run = e.fail_run, m.fail_share = e.fail_share, m.doubt = e.doubt_run, m.bundle = e.bundle;
+    return m;
+  }
+  // When `m` may be given: now, later, or never where it tells nothing new.
+  Time give_at(const EndpointState& e, const TargetMemory& m) const {
+    const Given& g = e.given;
+    if (m.health != g.health || (m.wait_left > 0 && now + m.wait_left > g.wait_until)) return now;
+    const auto differs = [](double a, double b) { return std::abs(a - b) > kGiveShare * std::max(a, b); };
+    const double let_then = std::min(1.0, g.let_through * std::exp(kPaceRaise * seconds(now - g.at)));
+    const bool changed = m.blank() || !g.known
+                             ? m.blank() == g.known
+                             : (m.health != Health::open && e.since != g.since) || m.refusals != g.refusals ||
+                                   differs(m.delay, aged_delay(g.delay, now - g.at)) ||
+                                   differs(m.pace, g.pace) || differs(m.let_through, let_then);
+    return changed ? std::max(now, g.at + micros(kGiveGap)) : kNever;
+  }
+  // When what was given of the endpoint is over with time alone; kNever where it takes more than that.
+  Time over_at(const EndpointState& e, const Target& t) const {
+    if (!e.given.known || e.health == Health::closed || kept_pace(t) > 0) return kNever;
+    Time at = std::max(t.wait_until, now);
+    if (const double d = kept_delay(delay_now(t)); d > 0)
+      at = std::max(at, now + micros(std::log2(d / (kLeast * unit)) * kAgingHalfLife * unit));
+    at = std::max(at, now + micros(-std::log(let_through(t)) / kPaceRaise));
+    if (e.health == Health::ramp) at = std::max(at, e.since + health_span());
+    return at + 1'000;  // rounded up
+  }
+  std::vector<TargetMemory> learned(Time at, std::size_t most) {
+    now = std::max(now, at);
+    std::vector<TargetMemory> given;
+    for (; !swept.empty() && given.size() < most; swept.pop_front())
+      given.emplace_back().endpoint = swept.front().first, given.back().destination = swept.front().second;
+    while (given.size() < most && !dirty.empty() && dirty.begin()->at <= now) {
+      const Due due = *dirty.begin();
+      dirty.erase(dirty.begin());
+      if (due.apart) {
+        EndpointState& e = endpoints.at(due.endpoint);
+        e.own.due = kNever;
+        if (e.apart) give_target(e.own, {&e}, most, given);
+      } else {
+        DestinationState& d = destinations.at(due.destination);
+        d.target.due = kNever;
+        give_target(d.target, d.endpoints, most, given);
+      }
+    }
+    return given;
+  }
+  void give_target(Target& t, const std::vector<EndpointState*>& of, std::size_t most,
+                   std::vector<TargetMemory>& given) {
+    t.given_known = false, t.looked_at = now;
+    for (EndpointState* e : of) {
+      if (&target_of(*e) != &t) continue;  // moved
+      TargetMemory m = memory_of(*e, t);
+      Time next = give_at(*e, m);
+      if (next <= now && given.size() < most) {
+        e->given = Given{!m.blank(), now,    m.health,      e->since,  now + m.wait_left,
+                         m.delay,    m.pace, m.let_through, m.refusals};
+        given.push_back(std::move(m));
+        next = kNever;
+      }
+      t.given_known |= e->given.known;
+      if (next == kNever) next = over_at(*e, t);
+      if (next < kNever) give_by(*e, next);
+    }
+  }
+  void on(const event::TargetRecalled& ev) {
+    const auto it = endpoints.find(ev.memory.endpoint);
+    if (it == endpoints.end() || it->second.info.listing == Listing::gone) return;
+    EndpointState& e = it->second;
+    if (e.recalled) return;
+    e.recalled = true;
+    const TargetMemory& m = ev.memory;
+    // Guards against records of another make: not a number counts as the least.
+    const auto within = [](auto least, auto x, auto most) { return x > least ? std::min(x, most) : least; };
+    const Time age = within(Time{0}, ev.age, kNever / 4), written = now - age;
+    const Time health_age = within(Time{0}, m.health_age, kNever / 4);
+    Target& t = target_of(e);
+    if (e.apart || m.destination == e.info.destination) {
+      t.wait_until = std::max(t.wait_until, now + within(Time{0}, m.wait_left - age, kNever / 4));
+      if (!t.heard && written >= t.recalled) {
+        if (t.let_at <= t.recalled) {  // else told by a peer since
+          const double let = within(kLeastThrough, m.let_through, 1.0);
+          t.let_through = written > t.recalled ? let : std::min(t.let_through, let), t.let_at = written;
+        }
+        // Of one age: the more careful of both.
+        if (written > t.recalled) t.delay = 0, t.pace = kUnbounded, t.refusals = 0, t.refused_from = now;
+        t.recalled = t.delay_at = written;
+        t.delay = std::max(t.delay, within(0.0, m.delay, kMost * unit));
+        if (m.pace > 0) t.pace = std::min(t.pace, m.pace);
+        t.refusals = std::max(t.refusals, within(0, m.refusals, 1'000));
+        if (t.refusals > 0)
+          t.refused_from = std::min(t.refused_from, written - within(Time{0}, m.refused_age, kNever / 4));
+        t.tokens = 0, t.tokens_at = t.raise_at = now;
+      }
+    }
+    const bool known = m.health == Health::closed || m.health == Health::ramp;
+    if (known && !e.heard && e.health == Health::open && e.fail_run == 0) {
+      e.health = m.health;
+      e.usual_rate = within(0.0, m.usual_rate, 1e9);
+      e.fail_run = within(0, m.fail_run, 1'000), e.fail_share = within(0.0, m.fail_share, 1.0);
+      e.doubt_run = m.doubt;
+      if (m.bundle > 0) e.bundle = std::min(m.bundle, e.bundle_max);
+      // It warms up whoever calls. But none made trials that would have kept it closed; and it may have been
+      // closed anew within the gap before the end.
+      e.since = m.health == Health::ramp ? written - health_age
+                                         : now - std::max<Time>(0, health_age - micros(kGiveGap));
+      // No more than it could have grown to, and spread as in close().
+      const double grown = within(0.0, m.budget, 1.0) + ramp_rate(e) * seconds(age);
+      e.budget = std::min(uniform(), grown), e.budget_at = now;
+      e.next_trial = now + trial_gap(e);
+      log("recalled " + e.info.id);
+    }
+    e.given.known = t.given_known = true;  // the store holds it
+    give_by(e, now);
+  }
+
   // ---- The list. ----
   void take(const Endpoint& info) {
     list_changed = true;
@@ -482,6 +664,7 @@
     if (model != nullptr && !e.apart && model->health != Health::open) {
       e.health = model->health, e.since = model->since, e.usual_rate = model->usual_rate;
       e.budget_at = now, e.next_trial = now, e.budget = uniform();
+      give_by(e, now);
     }
     siblings.push_back(&e);
   }
@@ -600,9 +783,16 @@
     for (auto it = destinations.begin(); it != destinations.end();) {
       std::erase_if(it->second.endpoints, [&](const EndpointState* e) { return leaves(*e); });
       const bool done = it->second.endpoints.empty() && it->second.target.wait_until <= now;
+      if (done) dirty.erase(Due{it->second.target.due, false, it->first, {}});
       it = done ? destinations.erase(it) : std::next(it);
     }
-    std::erase_if(endpoints, [&](const auto& entry) { return leaves(entry.second); });
+    std::erase_if(endpoints, [&](const auto& entry) {
+      const EndpointState& e = entry.second;
+      if (!leaves(e)) return false;
+      dirty.erase(Due{e.own.due, true, 0, entry.first});
+      if (e.given.known) swept.emplace_back(entry.first, e.info.destination);
+      return true;
+    });
   }
   void on(const event::Withdrawn& ev) {
     auto it = messages.find(ev.id);
@@ -626,7 +816,7 @@
     EndpointState& e = *call.endpoint;
     const Time sent = call.sent;
     Time& wait_until = target_of(e).wait_until;
-    if (ev.told_wait > 0) wait_until = std::max(wait_until, now + ev.told_wait);
+    if (ev.told_wait > 0) wait_until = std::max(wait_until, now + ev.told_wait), give_by(e, now);
     m.out.erase(attempt);
     const bool last = --call.left == 0;
     if (last) e.calls.erase(call_it->first);
@@ -634,12 +824,14 @@
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
       call.judged = true;
+      e.heard = target_of(e).heard = true;
       if (ev.outcome == Outcome::served)
         call_served(e, sent, ev.latency);
       else if (ev.outcome == Outcome::full)
         call_refused(e);
       else
         call_failed(e, ev, call.messages);
+      give_later(e);
     }
     if (last) calls.erase(call_it), e.used_at = now, ended_at.insert(e.info.id);
 
@@ -884,7 +1076,11 @@
 std::size_t Dispatcher::kept() const {
   const State& s = *state_;
   return s.endpoints.size() + s.destinations.size() + s.messages.size() + s.keys.size() + s.calls.size() +
-         s.resting.size();
+         s.resting.size() + s.dirty.size() + s.swept.size();
+}
+
+std::vector<TargetMemory> Dispatcher::learned(Time now, std::size_t most) {
+  return state_->learned(now, most);
 }
 
 void Dispatcher::handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
