Store: the folder is read by read_folder(), which changes nothing; the start does the changes

Need: operators are to look at a folder, and save what can be read of it, without a byte of it changed; Store's constructor read and changed in turns.

Change: recovery.hpp: read_folder() lists the folder, finds the roster, replays the segments into a Table and a Ledger and tells damage as data, also which records are missing (Replay::missing_runs()). The file of format 1 is read where it is and becomes the first segment after that. Store::recover() takes that over and then changes the folder. A read error no longer comes after the folder was adopted.

--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 #include "store/store.hpp"
@@ -45,29 +46,56 @@
   throw std::system_error(bad, "store: " + what);
 }
 
-}  // namespace
+std::string read_whole(Disk& disk, const std::string& name) {
+  FileId file = -1;
+  if (const auto bad = disk.open(name, Disk::Access::read, file)) fail(bad, name);
+  std::string all;
+  constexpr std::size_t kPiece = 1 << 20;
+  while (true) {
+    const std::size_t at = all.size();
+    all.resize(at + kPiece);
+    std::size_t got = 0;
+    const auto bad = disk.read(file, at, all.data() + at, kPiece, got);
+    all.resize(at + got);
+    if (bad) {
+      disk.close(file);
+      fail(bad, name);
+    }
+    if (got < kPiece) break;
+  }
+  disk.close(file);
+  return all;
+}
 
-struct Store::Listing {
-  struct File {
-    std::string name;
-    std::uint64_t bytes = 0;
-    Salt salt = 0;
-    bool old = false;
-  };
-  std::map<SegmentNumber, File> files;
-  bool journal = false, journal_next = false, guard = false, reserve = false;  // that are there
-  std::uint64_t other_bytes = 0;                                               // of all else
-  // Of the segments that belong to the store: where they end, as far as that is told. Those without a file
-  // are missing; files that are not named here are left of segments that were dropped.
-  std::map<SegmentNumber, std::optional<Sequence>> roster;
-  std::optional<Anchor> anchor;               // the last one
-  std::map<SegmentNumber, std::string> read;  // what was read already
+// Fills a Contents; changes nothing in the folder.
+class Reader {
+ public:
+  Reader(Disk& disk, LastingClock& clock, const ReadClocks& clocks)
+      : disk_(disk), clock_(clock), clocks_(clocks) {}
+  Contents read();
+
+ private:
+  void list_folder();
+  void find_old();
+  void read_roster();
+  void apply(Record&& record, Sequence sequence, std::size_t bytes, SegmentNumber segment);
+  void read_segment(SegmentNumber number, const std::string& bytes, Replay& replay);
+  void read_segments();
+  void settle_doubt(Sequence last_missing);
+
+  Disk& disk_;
+  LastingClock& clock_;
+  const ReadClocks& clocks_;
+  Contents found_;
+  std::map<SegmentNumber, std::string> read_;  // what was read already
+  // Of the last record that holds all of a message; messages of format 1, in wall time.
+  std::unordered_map<MessageId, Sequence> whole_state_;
+  Time wall_to_lasting_ = 0;
 };
 
-Store::Listing Store::list_folder() {
+void Reader::list_folder() {
   std::vector<Disk::Entry> entries;
   if (const auto bad = disk_.list(entries)) fail(bad, "the folder can't be listed");
-  Listing listing;
   for (const auto& e : entries) {
     if (const auto name = read_name(e.name); name && !e.folder) {
       const bool old = e.name == kOldSegment;
@@ -75,84 +103,52 @@
         throw StoreError("store: " + e.name + " is of format " + name->version +
                          "; this program reads formats 1 and " + std::to_string(kVersion) +
                          ": use the version that wrote it");
-      listing.files[name->number] = {e.name, e.bytes, name->salt, old};
+      auto& file = found_.files[name->number];
+      file.name = e.name, file.bytes = e.bytes, file.salt = name->salt, file.old = old;
       continue;
     }
     if (e.name == kOldNext && e.folder)
-      listing.guard = true;
+      found_.guard = true;
     else if (e.name == kOldNext)
-      listing.journal_next = true;
+      found_.journal_next = true;
     else if (e.name == kOldName && !e.folder)
-      listing.journal = true;
+      found_.journal = true;
     else if (e.name == kReserveName && !e.folder)
-      listing.reserve = true;
+      found_.reserve = true;
     else
-      listing.other_bytes += on_disk(e.bytes);
+      found_.others.push_back(e);
   }
-  return listing;
 }
 
-std::string Store::read_whole(const std::string& name) {
-  FileId file = -1;
-  if (const auto bad = disk_.open(name, Disk::Access::read, file)) fail(bad, name);
-  std::string all;
-  constexpr std::size_t kPiece = 1 << 20;
-  while (true) {
-    const std::size_t at = all.size();
-    all.resize(at + kPiece);
-    std::size_t got = 0;
-    const auto bad = disk_.read(file, at, all.data() + at, kPiece, got);
-    all.resize(at + got);
-    if (bad) {
-      disk_.close(file);
-      fail(bad, name);
-    }
-    if (got < kPiece) break;
-  }
-  disk_.close(file);
-  return all;
-}
-
-// The file of format 1 becomes the first segment as it is; compaction brings its records into the new form.
-void Store::adopt_old(Listing& listing) {
-  if (listing.journal) {
-    const std::string bytes = read_whole(kOldName);
-    const OldScan scan(bytes);
-    if (scan.head() == OldScan::Head::unknown_version || scan.head() == OldScan::Head::foreign)
-      throw StoreError(
-          "store: the file `journal` is of a format that this program does not know: use the version "
-          "that wrote it, or move the file away");
-    if (!listing.files.empty())
-      throw StoreError(
-          "store: a file `journal` of an earlier version stands beside files of this one: two programs "
-          "wrote here; move one of them away");
-    // A copy that was never finished.
-    if (listing.journal_next)
-      if (const auto bad = disk_.remove(kOldNext)) fail(bad, kOldNext);
-  }
-  // Guards against an earlier version, which would begin anew beside these files: it can't start over a
-  // folder of that name.
-  if (!listing.guard && (listing.journal || !listing.journal_next))
-    if (const auto bad = disk_.make_folder(kOldNext)) fail(bad, kOldNext);
-  if (!listing.journal) return;
-  if (const auto bad = disk_.rename(kOldName, kOldSegment)) fail(bad, kOldName);
-  std::vector<Disk::Entry> entries;
-  if (const auto bad = disk_.list(entries)) fail(bad, "the folder can't be listed");
-  for (const auto& e : entries)
-    if (e.name == kOldSegment) listing.files[0] = {e.name, e.bytes, 0, true};
-  listing.roster.try_emplace(0);
+// The file of format 1 counts as the first segment as it is.
+void Reader::find_old() {
+  if (!found_.journal) return;
+  std::string bytes = read_whole(disk_, kOldName);
+  const OldScan scan(bytes);
+  if (scan.head() == OldScan::Head::unknown_version || scan.head() == OldScan::Head::foreign)
+    throw StoreError(
+        "store: the file `journal` is of a format that this program does not know: use the version "
+        "that wrote it, or move the file away");
+  if (!found_.files.empty())
+    throw StoreError(
+        "store: a file `journal` of an earlier version stands beside files of this one: two programs "
+        "wrote here; move one of them away");
+  auto& file = found_.files[0];
+  file.name = kOldName, file.bytes = bytes.size(), file.old = true;
+  found_.roster.try_emplace(0);
+  read_[0] = std::move(bytes);
 }
 
 // Which segments belong to the store: as the newest readable first record tells, and what was dropped after
 // it.
-void Store::read_roster(Listing& listing) {
+void Reader::read_roster() {
   std::set<SegmentNumber> dropped;
   bool told = false;
-  for (auto it = listing.files.rbegin(); it != listing.files.rend() && !told; ++it) {
+  for (auto it = found_.files.rbegin(); it != found_.files.rend() && !told; ++it) {
     const auto& [number, file] = *it;
-    listing.roster.try_emplace(number);
+    found_.roster.try_emplace(number);
     if (file.old) continue;
-    const auto& bytes = listing.read[number] = read_whole(file.name);
+    const auto& bytes = read_[number] = read_whole(disk_, file.name);
     Scan scan(file.salt, bytes);
     bool first = true;
     std::optional<Anchor> anchor;
@@ -170,137 +166,194 @@
         anchor = s->anchor;
         if (!head) continue;
         told = true;
-        for (const auto& other : s->others) listing.roster[other.number] = other.end;
+        for (const auto& other : s->others) found_.roster[other.number] = other.end;
       } else if (const auto* d = std::get_if<record::Dropped>(&*record)) {
         dropped.insert(d->segment);
       } else if (const auto* a = std::get_if<Anchor>(&*record)) {
         anchor = *a;
       }
     }
-    if (anchor && !listing.anchor) listing.anchor = anchor;
+    if (anchor && !found_.anchor) found_.anchor = anchor;
   }
   // Without a word of the newest ones all that is there counts.
   if (!told)
-    for (const auto& [number, file] : listing.files) listing.roster.try_emplace(number);
-  for (const SegmentNumber number : dropped) listing.roster.erase(number);
+    for (const auto& [number, file] : found_.files) found_.roster.try_emplace(number);
+  for (const SegmentNumber number : dropped) found_.roster.erase(number);
 }
 
-void Store::apply(Record&& r, Sequence sequence, std::size_t bytes, SegmentNumber segment) {
-  ledger_.note(note_of(r, bytes), segment);
+void Reader::apply(Record&& r, Sequence sequence, std::size_t bytes, SegmentNumber segment) {
+  found_.ledger.note(note_of(r, bytes), segment);
   const bool old = segment == 0;
   struct Visit {
-    Store& s;
+    Reader& r;
     Sequence sequence;
     bool old;
-    void operator()(record::Segment& x) const { s.table_.reserve_numbers(x.next_message); }
+    void operator()(record::Segment& x) const { r.found_.table.reserve_numbers(x.next_message); }
     void operator()(record::Taken& x) const {
-      if (old) x.held.message.deadline += s.wall_to_lasting_;
-      s.whole_state_[x.number] = sequence;
-      s.table_.taken(x.number, std::move(x.held));
+      if (old) x.held.message.deadline += r.wall_to_lasting_;
+      r.whole_state_[x.number] = sequence;
+      r.found_.table.taken(x.number, std::move(x.held));
     }
     void operator()(record::Progress& x) const {
-      s.whole_state_[x.number] = sequence;
-      s.table_.progress(x);
+      r.whole_state_[x.number] = sequence;
+      r.found_.table.progress(x);
     }
     void operator()(record::Sent& x) const {
-      if (old) x.at += s.wall_to_lasting_;
-      s.table_.sent(x);
+      if (old) x.at += r.wall_to_lasting_;
+      r.found_.table.sent(x);
     }
-    void operator()(record::Ended& x) const { s.table_.ended(x); }
-    void operator()(record::GivenUp& x) const { s.table_.given_up(x); }
+    void operator()(record::Ended& x) const { r.found_.table.ended(x); }
+    void operator()(record::GivenUp& x) const { r.found_.table.given_up(x); }
     void operator()(record::Over& x) const {
-      s.whole_state_.erase(x.number);
-      if (const auto other = s.table_.over(x)) s.ledger_.forget_id(*other);
+      r.whole_state_.erase(x.number);
+      if (const auto other = r.found_.table.over(x)) r.found_.ledger.forget_id(*other);
     }
-    void operator()(record::Fact& x) const { s.table_.fact(x); }
+    void operator()(record::Fact& x) const { r.found_.table.fact(x); }
     void operator()(record::Dropped&) const {}
     void operator()(Anchor&) const {}
   };
   std::visit(Visit{*this, sequence, old}, r);
 }
 
-void Store::read_segment(const Listing& listing, SegmentNumber number, const std::string& bytes,
-                         Replay& replay) {
-  const auto& file = listing.files.at(number);
+void Reader::read_segment(SegmentNumber number, const std::string& bytes, Replay& replay) {
+  auto& file = found_.files.at(number);
   const auto damaged = [&](const DamagedStretch& d) {
-    ledger_.damaged(number);
-    recovery_.damaged.push_back(file.name + ": bytes " + std::to_string(d.from) + " to " +
-                                std::to_string(d.to));
+    found_.ledger.damaged(number);
+    found_.damage.push_back({number, Damage::What::stretch, d.from, d.to});
   };
-  const auto upto = listing.roster.at(number);
+  const auto upto = found_.roster.at(number);
   replay.begin(number);
   const std::uint64_t missing_before = replay.counts().missing;
-  const std::size_t stretches_before = recovery_.damaged.size();
+  const std::size_t stretches_before = found_.damage.size();
   if (file.old) {
     OldScan scan(bytes);
     while (auto found = scan.next()) {
       if (auto* r = std::get_if<OldRecord>(&*found)) {
+        file.records++;
         replay.found(std::move(*r));
       } else if (const auto* d = std::get_if<DamagedStretch>(&*found)) {
         damaged(*d);
         replay.old_damage(*d);
+      } else if (const auto* t = std::get_if<TornEnd>(&*found)) {
+        file.torn = *t;
       }
     }
     replay.old_end(bytes.size());
   } else {
     Scan scan(file.salt, bytes);
     while (const auto found = scan.next()) {
-      if (const auto* d = std::get_if<DamagedStretch>(&*found)) damaged(*d);
+      if (const auto* d = std::get_if<DamagedStretch>(&*found)) {
+        damaged(*d);
+      } else if (const auto* t = std::get_if<TornEnd>(&*found)) {
+        file.torn = *t;
+      } else if (const auto* f = std::get_if<Frame>(&*found)) {
+        if (file.records++ == 0) file.first = f->header.sequence;
+        file.last = f->header.sequence;
+      }
       std::visit([&](const auto& what) { replay.found(what); }, *found);
     }
   }
   replay.end(upto);
-  if (upto && replay.counts().missing > missing_before && recovery_.damaged.size() == stretches_before) {
-    ledger_.damaged(number);
-    recovery_.damaged.push_back(file.name + ": cut off at byte " + std::to_string(bytes.size()));
+  if (upto && replay.counts().missing > missing_before && found_.damage.size() == stretches_before) {
+    found_.ledger.damaged(number);
+    found_.damage.push_back({number, Damage::What::cut_off, bytes.size(), bytes.size()});
   }
 }
 
-void Store::read_segments(Listing& listing) {
+void Reader::read_segments() {
   Replay replay([this](Record&& r, Sequence sequence, std::size_t bytes, SegmentNumber segment) {
     apply(std::move(r), sequence, bytes, segment);
   });
-  for (const auto& [number, upto] : listing.roster) {
-    last_number_ = std::max(last_number_, number);
-    const auto file = listing.files.find(number);
-    if (file == listing.files.end()) {
-      recovery_.damaged.push_back("segment " + std::to_string(number) + ": its file is gone");
+  for (const auto& [number, upto] : found_.roster) {
+    found_.highest = std::max(found_.highest, number);
+    const auto file = found_.files.find(number);
+    if (file == found_.files.end()) {
+      found_.damage.push_back({number, Damage::What::gone, 0, 0});
       replay.gone(upto);
       continue;
     }
-    names_[number] = file->second.name;
-    ledger_.add_segment(number);
-    if (file->second.old) ledger_.old(number);
-    const auto read = listing.read.extract(number);
-    const std::string bytes = read.empty() ? read_whole(file->second.name) : read.mapped();
-    ledger_.grow(number, bytes.size());
-    read_segment(listing, number, bytes, replay);
-    if (upto) ledger_.closed(number, *upto);
+    found_.ledger.add_segment(number);
+    if (file->second.old) found_.ledger.old(number);
+    const auto read = read_.extract(number);
+    const std::string bytes = read.empty() ? read_whole(disk_, file->second.name) : read.mapped();
+    found_.ledger.grow(number, bytes.size());
+    const std::size_t runs = replay.missing_runs().size();
+    read_segment(number, bytes, replay);
+    file->second.missing.assign(replay.missing_runs().begin() + static_cast<std::ptrdiff_t>(runs),
+                                replay.missing_runs().end());
+    if (upto) found_.ledger.closed(number, *upto);
   }
+  const std::size_t runs = replay.missing_runs().size();
   replay.finish();
-  next_ = replay.next();
-  for (const auto& [number, segment] : ledger_.segments())
-    if (segment.end == 0) ledger_.closed(number, next_);
-  recovery_.counts = replay.counts();
+  if (replay.missing_runs().size() > runs)
+    found_.files.at(found_.roster.rbegin()->first).missing.push_back(replay.missing_runs().back());
+  found_.missing = replay.missing_runs();
+  found_.next = replay.next();
+  for (const auto& [number, segment] : found_.ledger.segments())
+    if (segment.end == 0) found_.ledger.closed(number, found_.next);
+  found_.counts = replay.counts();
   if (replay.last_missing() > 0) {
     // Numbers that stood in what is missing must not be given again.
-    table_.reserve_numbers(table_.next_number() + replay.counts().missing);
+    found_.table.reserve_numbers(found_.table.next_number() + replay.counts().missing);
     settle_doubt(replay.last_missing());
   }
 }
 
 // What is missing may have been of any message whose whole state was written before it.
-void Store::settle_doubt(Sequence last_missing) {
+void Reader::settle_doubt(Sequence last_missing) {
   for (const auto& [number, sequence] : whole_state_) {
-    const Held* h = find(number);
+    const Held* h = found_.table.find(number);
     if (h == nullptr || sequence >= last_missing) continue;
-    recovery_.doubtful++;
+    found_.doubtful++;
     if (h->doubt) continue;
-    table_.doubt(number);
-    add(record::Progress{number, h->attempts, h->ending, true});
+    found_.table.doubt(number);
+    found_.doubted.push_back(number);
   }
 }
 
+Contents Reader::read() {
+  list_folder();
+  read_roster();
+  find_old();
+  if (found_.anchor) clock_.resume(*found_.anchor);
+  wall_to_lasting_ = clock_.now() - clocks_().wall;
+  for (const auto& [number, file] : found_.files) found_.highest = std::max(found_.highest, number);
+  read_segments();
+  return std::move(found_);
+}
+
+}  // namespace
+
+Contents read_folder(Disk& disk, LastingClock& clock, const ReadClocks& clocks) {
+  return Reader(disk, clock, clocks).read();
+}
+
+std::string text(const Damage& d, const std::string& file) {
+  switch (d.what) {
+    case Damage::What::stretch:
+      return file + ": bytes " + std::to_string(d.from) + " to " + std::to_string(d.to);
+    case Damage::What::cut_off:
+      return file + ": cut off at byte " + std::to_string(d.from);
+    case Damage::What::gone:
+      return "segment " + std::to_string(d.segment) + ": its file is gone";
+  }
+  return {};
+}
+
+// The file of format 1 becomes the first segment as it is; compaction brings its records into the new form.
+void Store::adopt_old(const Contents& found) {
+  // A copy that was never finished.
+  if (found.journal && found.journal_next)
+    if (const auto bad = disk_.remove(kOldNext)) fail(bad, kOldNext);
+  // Guards against an earlier version, which would begin anew beside these files: it can't start over a
+  // folder of that name.
+  if (!found.guard && (found.journal || !found.journal_next))
+    if (const auto bad = disk_.make_folder(kOldNext)) fail(bad, kOldNext);
+  if (!found.journal) return;
+  if (const auto bad = disk_.rename(kOldName, kOldSegment)) fail(bad, kOldName);
+  names_[0] = kOldSegment;
+}
+
 void Store::sync_all() {
   // Written by an earlier life, and perhaps never synced.
   for (const auto& [number, name] : names_) {
@@ -314,36 +367,44 @@
 }
 
 void Store::recover() {
-  Listing listing = list_folder();
-  read_roster(listing);
-  adopt_old(listing);
-  salt_ = listing.files.empty() || listing.files.rbegin()->second.old ? std::random_device{}()
-                                                                      : listing.files.rbegin()->second.salt;
+  Contents found = read_folder(disk_, clock_, options_.clocks);
+  for (const auto& [number, file] : found.files)
+    if (found.roster.count(number) > 0) names_[number] = file.name;
+  adopt_old(found);
+  salt_ = found.files.empty() || found.files.rbegin()->second.old ? std::random_device{}()
+                                                                  : found.files.rbegin()->second.salt;
   pending_ = Batch(salt_);
-  if (listing.anchor) clock_.resume(*listing.anchor);
-  wall_to_lasting_ = clock_.now() - options_.clocks().wall;
-  for (const auto& [number, file] : listing.files) last_number_ = std::max(last_number_, number);
-  read_segments(listing);
+  table_ = std::move(found.table), ledger_ = std::move(found.ledger);
+  next_ = found.next, last_number_ = found.highest;
+  for (const MessageId number : found.doubted) {
+    const Held& h = held().at(number);
+    add(record::Progress{number, h.attempts, h.ending, true});
+  }
+  recovery_.counts = found.counts, recovery_.doubtful = found.doubtful;
+  for (const auto& d : found.damage) {
+    const auto name = names_.find(d.segment);
+    recovery_.damaged.push_back(text(d, name == names_.end() ? std::string() : name->second));
+  }
 
-  used_ = listing.other_bytes;
-  for (const auto& [number, file] : listing.files) {
+  for (const auto& other : found.others) used_ += on_disk(other.bytes);
+  for (const auto& [number, file] : found.files) {
     if (names_.count(number) > 0) {
       used_ += on_disk(file.bytes);
       continue;
     }
     // Left of a segment that was dropped, by an end between that and its file's. One that was to be set aside
     // for damage is.
-    const std::string bytes = file.old ? std::string() : read_whole(file.name);
+    const std::string bytes = file.old ? std::string() : read_whole(disk_, file.name);
     Scan scan(file.salt, bytes);
     bool damage = false;
-    while (const auto found = scan.next()) damage = damage || std::holds_alternative<DamagedStretch>(*found);
+    while (const auto f = scan.next()) damage = damage || std::holds_alternative<DamagedStretch>(*f);
     const auto bad = damage ? disk_.rename(file.name, "damaged-" + file.name) : disk_.remove(file.name);
     if (damage || bad) used_ += on_disk(file.bytes);
   }
   if (options_.durability == Durability::machine) sync_all();
 
   const auto opened =
-      disk_.open(kReserveName, listing.reserve ? Disk::Access::write : Disk::Access::create, reserve_);
+      disk_.open(kReserveName, found.reserve ? Disk::Access::write : Disk::Access::create, reserve_);
   if (opened) reserve_ = -1, reserve_off_ = true;
   release_reserve();
   for (const auto& gone : table_.expire(clock_.now())) ledger_.forget_id(gone.number);
@@ -352,7 +413,6 @@
     booked_.messages += c.messages, booked_.later += c.later, booked_.ids += c.ids;
   }
   booked_.ids += table_.remembered_bytes();
-  whole_state_.clear();
   synced_ = next_ - 1;
   ceiling_ = std::max(options_.limit_bytes,
                       used_ + pending_.bytes() + booked_.later + headroom(options_.limit_bytes));
--- a/relay/store/replay.cpp
+++ b/relay/store/replay.cpp
@@ -10,8 +10,9 @@
 
 }  // namespace
 
-void Replay::missing(Sequence from, Sequence to) {
+void Replay::missing(Sequence from, Sequence to, bool estimated) {
   if (to <= from) return;
+  missing_runs_.push_back({from, to, estimated});
   counts_.missing += to - from;
   last_missing_ = std::max(last_missing_, to - 1);
 }
@@ -27,7 +28,7 @@
 
 void Replay::gone(std::optional<Sequence> upto) {
   count_pending();
-  missing(next_, std::max(upto.value_or(next_ + 1), next_ + 1));
+  missing(next_, std::max(upto.value_or(next_ + 1), next_ + 1), !upto);
   next_ = std::max(next_, upto.value_or(next_));
   between_ = true;
 }
@@ -62,7 +63,7 @@
     pending_.erase(again, pending_.end());
   } else if (sequence > expected() && (!between_ || damage_)) {
     count_pending();
-    missing(begun_ ? next_ : sequence - std::min(damage_records_, sequence - 1), sequence);
+    missing(begun_ ? next_ : sequence - std::min(damage_records_, sequence - 1), sequence, !begun_);
   }
   begun_ = true;
   between_ = damage_ = false;
@@ -99,7 +100,7 @@
   if (damage_) {
     // Nothing whole stands behind it: it may have covered so many records.
     count_pending();
-    missing(next_, next_ + damage_records_);
+    missing(next_, next_ + damage_records_, true);
     next_ += damage_records_;
     return;
   }
--- a/relay/store/replay.hpp
+++ b/relay/store/replay.hpp
@@ -17,6 +17,12 @@
 
 namespace heronvane::store {
 
+// Records `from` to `to`, without the latter, are missing.
+struct MissingRun {
+  Sequence from = 0, to = 0;
+  bool estimated = false;  // how many they are is not known for certain
+};
+
 class Replay {
  public:
   struct Counts {
@@ -52,6 +58,8 @@
   // A message whose last whole state was written before it may lack records; 0: nothing is missing.
   Sequence last_missing() const { return last_missing_; }
   const Counts& counts() const { return counts_; }
+  // In the order in which they were found missing; none of format 1, which has no numbers.
+  const std::vector<MissingRun>& missing_runs() const { return missing_runs_; }
 
  private:
   struct Pending {
@@ -61,7 +69,7 @@
     SegmentNumber segment = 0;
   };
   Sequence expected() const { return pending_.empty() ? next_ : pending_.back().sequence + 1; }
-  void missing(Sequence from, Sequence to);
+  void missing(Sequence from, Sequence to, bool estimated = false);
   void count_pending();
 
   Apply apply_;
@@ -74,6 +82,7 @@
   std::vector<Pending> pending_;  // a batch without its end so far
   Sequence last_missing_ = 0;
   Counts counts_;
+  std::vector<MissingRun> missing_runs_;
 };
 
 }  // namespace heronvane::store
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -18,7 +18,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "core/message.hpp"
@@ -27,6 +26,7 @@
 #include "store/lasting_clock.hpp"
 #include "store/ledger.hpp"
 #include "store/records.hpp"
+#include "store/recovery.hpp"
 #include "store/replay.hpp"
 #include "store/table.hpp"
 
@@ -58,12 +58,6 @@
   ReadClocks clocks = system_clocks;
 };
 
-// What stands in the way of a start: another version's files, or files that are none of the store's.
-class StoreError : public std::runtime_error {
- public:
-  using std::runtime_error::runtime_error;
-};
-
 // What was found at the start.
 struct Recovery {
   Replay::Counts counts;
@@ -153,16 +147,8 @@
   };
 
   // recovery.cpp
-  struct Listing;
   void recover();
-  Listing list_folder();
-  void adopt_old(Listing& listing);
-  void read_roster(Listing& listing);
-  void read_segments(Listing& listing);
-  void read_segment(const Listing& listing, SegmentNumber number, const std::string& bytes, Replay& replay);
-  std::string read_whole(const std::string& name);
-  void apply(Record&& record, Sequence sequence, std::size_t bytes, SegmentNumber segment);
-  void settle_doubt(Sequence last_missing);
+  void adopt_old(const Contents& found);
   void sync_all();
   void tell_recovery();
 
@@ -206,9 +192,6 @@
   Table table_;
   Ledger ledger_;
   Recovery recovery_;
-  // While recovering: of the last record that holds all of a message; messages of format 1, in wall time.
-  std::unordered_map<MessageId, Sequence> whole_state_;
-  Time wall_to_lasting_ = 0;
 
   Batch pending_;
   std::vector<Note> pending_notes_;
