--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -606,7 +606,7 @@
     const Time health_age = within(Time{0}, m.health_age, kNever / 4);
     Target& t = target_of(e);
     if (e.apart || m.destination == e.info.destination) {
-      t.wait_until = std::max(t.wait_until, now + within(Time{0}, m.wait_left - age, kNever / 4));
+      t.wait_until = std::max(t.wait_until, written + within(Time{0}, m.wait_left, kNever / 4));
       if (!t.heard && written >= t.recalled) {
         if (t.let_at <= t.recalled) {  // else told by a peer since
           const double let = within(kLeastThrough, m.let_through, 1.0);
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -71,6 +71,8 @@
         idle_closed[i->endpoint].push_back(now);
       } else if (std::holds_alternative<action::Subscribe>(a)) {
         asked.push_back(now);
+      } else if (const auto* l = std::get_if<action::Log>(&a)) {
+        log.push_back(l->text);
       }
     }
   }
@@ -128,6 +130,10 @@
     }
   }
   std::size_t kept() const { return dispatcher_.kept(); }
+  std::vector<TargetMemory> learned(std::size_t most) { return dispatcher_.learned(now, most); }
+  bool logged(const std::string& start) const {
+    return std::any_of(log.begin(), log.end(), [&](const auto& line) { return line.rfind(start, 0) == 0; });
+  }
   int sends_of(MessageId id) const {
     return static_cast<int>(
         std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
@@ -144,6 +150,7 @@
   std::vector<Time> asked;
   std::map<EndpointId, std::vector<Time>> idle_closed;
   std::vector<std::pair<Time, std::string>> notes;
+  std::vector<std::string> log;
 
  private:
   Dispatcher dispatcher_;
