Store: missing records with their segment, the remembered ids as records, segment_name()

Need: the operators' tool tells which records of which file are missing, and writes a store anew.

Change: MissingRun names the segment; Table::remembered_ids(); segment_name() is declared with the records.

--- a/relay/store/records.cpp
+++ b/relay/store/records.cpp
@@ -2,6 +2,7 @@
 
 #include <bit>
 #include <boost/crc.hpp>
+#include <cstdio>
 #include <cstring>
 #include <type_traits>
 
@@ -228,6 +229,13 @@
   return r;
 }
 
+std::string segment_name(SegmentNumber number, Salt salt) {
+  char text[64];
+  std::snprintf(text, sizeof text, "segment-%010llu-%08x.hv%d", static_cast<unsigned long long>(number), salt,
+                static_cast<int>(kVersion));
+  return text;
+}
+
 std::uint32_t sum_of(Salt salt, std::string_view bytes) {
   boost::crc_32_type crc;
   crc.process_bytes(&salt, sizeof salt);
--- a/relay/store/records.hpp
+++ b/relay/store/records.hpp
@@ -112,6 +112,9 @@
 // A payload of that kind as a record; nothing where it is no such payload, to the last byte.
 std::optional<Record> decode(Kind kind, std::string_view payload);
 
+// "segment-0000000012-1f2e3d4c.hv2"
+std::string segment_name(SegmentNumber number, Salt salt);
+
 std::uint32_t sum_of(Salt salt, std::string_view bytes);
 
 struct FrameHeader {
--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -269,6 +269,7 @@
     const auto file = found_.files.find(number);
     if (file == found_.files.end()) {
       found_.damage.push_back({number, Damage::What::gone, 0, 0});
+      replay.begin(number);
       replay.gone(upto);
       continue;
     }
@@ -277,16 +278,10 @@
     const auto read = read_.extract(number);
     const std::string bytes = read.empty() ? read_whole(disk_, file->second.name) : read.mapped();
     found_.ledger.grow(number, bytes.size());
-    const std::size_t runs = replay.missing_runs().size();
     read_segment(number, bytes, replay);
-    file->second.missing.assign(replay.missing_runs().begin() + static_cast<std::ptrdiff_t>(runs),
-                                replay.missing_runs().end());
     if (upto) found_.ledger.closed(number, *upto);
   }
-  const std::size_t runs = replay.missing_runs().size();
   replay.finish();
-  if (replay.missing_runs().size() > runs)
-    found_.files.at(found_.roster.rbegin()->first).missing.push_back(replay.missing_runs().back());
   found_.missing = replay.missing_runs();
   found_.next = replay.next();
   for (const auto& [number, segment] : found_.ledger.segments())
--- a/relay/store/recovery.hpp
+++ b/relay/store/recovery.hpp
@@ -43,10 +43,9 @@
   Salt salt = 0;
   bool old = false;  // of format 1
   // Of what was read; nothing of one that was dropped.
-  std::uint64_t records = 0;        // that are whole, also those of torn batches
-  Sequence first = 0, last = 0;     // the first and the last of them; 0 where there is none, or of format 1
-  std::optional<TornEnd> torn;      // at its end
-  std::vector<MissingRun> missing;  // records that should stand in it
+  std::uint64_t records = 0;     // that are whole, also those of torn batches
+  Sequence first = 0, last = 0;  // the first and the last of them; 0 where there is none, or of format 1
+  std::optional<TornEnd> torn;   // at its end
 };
 
 struct Contents {
--- a/relay/store/replay.cpp
+++ b/relay/store/replay.cpp
@@ -12,7 +12,7 @@
 
 void Replay::missing(Sequence from, Sequence to, bool estimated) {
   if (to <= from) return;
-  missing_runs_.push_back({from, to, estimated});
+  missing_runs_.push_back({segment_, from, to, estimated});
   counts_.missing += to - from;
   last_missing_ = std::max(last_missing_, to - 1);
 }
--- a/relay/store/replay.hpp
+++ b/relay/store/replay.hpp
@@ -19,6 +19,7 @@
 
 // Records `from` to `to`, without the latter, are missing.
 struct MissingRun {
+  SegmentNumber segment = 0;  // in which they stood or, where none tells its end, behind them
   Sequence from = 0, to = 0;
   bool estimated = false;  // how many they are is not known for certain
 };
@@ -42,7 +43,7 @@
   // last record, as a later segment tells it; none does of the newest.
   void begin(SegmentNumber segment) { segment_ = segment; }
   void end(std::optional<Sequence> upto);
-  // A segment that belongs to the store but has no file.
+  // Behind begin(), instead of all else: a segment that belongs to the store but has no file.
   void gone(std::optional<Sequence> upto);
   void found(const Frame& frame);
   void found(const DamagedStretch& damage);
--- a/relay/store/table.cpp
+++ b/relay/store/table.cpp
@@ -88,6 +88,14 @@
   return bytes;
 }
 
+std::vector<record::Over> Table::remembered_ids() const {
+  std::vector<record::Over> all;
+  all.reserve(over_.size());
+  for (const auto& [id, entry] : over_) all.push_back({entry.number, id, entry.until});
+  std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) { return a.number < b.number; });
+  return all;
+}
+
 record::Over Table::over_of(MessageId number) const {
   const auto it = over_ids_.find(number);
   if (it == over_ids_.end()) return {number, {}, 0};
--- a/relay/store/table.hpp
+++ b/relay/store/table.hpp
@@ -21,7 +21,8 @@
   std::size_t given_up() const { return given_up_; }  // of those held
   bool remembers(const std::string& id) const { return over_.count(id) > 0; }
   std::size_t remembered() const { return over_.size(); }
-  std::uint64_t remembered_bytes() const;  // of the records of their ids
+  std::uint64_t remembered_bytes() const;            // of the records of their ids
+  std::vector<record::Over> remembered_ids() const;  // by the numbers of their messages
   // That a message is over, as a record; without its id where that is not remembered.
   record::Over over_of(MessageId number) const;
   const std::map<std::string, std::string>& facts() const { return facts_; }
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -1,6 +1,5 @@
 // How the store writes: batches to the active segment, the reserve, syncs.
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 #include "store/store.hpp"
@@ -12,13 +11,6 @@
 constexpr std::size_t kSegmentHead = 256;  // more than the first record takes, but for its list of others
 constexpr std::size_t kOtherBytes = sizeof(SegmentNumber) + sizeof(Sequence);
 
-std::string segment_name(SegmentNumber number, Salt salt) {
-  char text[64];
-  std::snprintf(text, sizeof text, "segment-%010llu-%08x.hv%d", static_cast<unsigned long long>(number), salt,
-                static_cast<int>(kVersion));
-  return text;
-}
-
 }  // namespace
 
 void Store::failed(const std::string& what) {
