heronvane-store: verify, show, export and repair of a state folder, without a change to it

Need: operators could neither see what a folder holds nor save it where it is damaged, but by starting a relay on it.

Measured: 16 tests run the program on folders that the library wrote and compare every byte of them before and after.

--- /dev/null
+++ b/tests/store/tool_test.cpp
@@ -0,0 +1,439 @@
+// heronvane-store as a program, on folders that the library wrote: what it says, its exit status, and that no
+// byte of the folder changes whatever is asked.
+#include <gtest/gtest.h>
+#include <rapidjson/document.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/crc.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "store/scan.hpp"
+#include "store/store.hpp"
+
+namespace heronvane::store::testing {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string content(const fs::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+void put_content(const fs::path& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary) << bytes;
+}
+std::map<std::string, std::string> files(const fs::path& folder) {
+  std::map<std::string, std::string> all;
+  for (const auto& f : fs::recursive_directory_iterator(folder))
+    all[f.path()] = f.is_directory() ? "" : content(f.path());
+  return all;
+}
+
+std::string unbase64(const std::string& text) {
+  const std::string digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string out;
+  std::uint32_t bits = 0;
+  int n = 0;
+  for (const char c : text) {
+    if (c == '=') break;
+    bits = bits << 6 | static_cast<std::uint32_t>(digits.find(c));
+    if ((n += 6) >= 8) out += static_cast<char>(bits >> (n -= 8) & 0xff);
+  }
+  return out;
+}
+
+struct Place {
+  std::uint64_t from = 0, to = 0;
+  Sequence sequence = 0;
+};
+// The frame whose payload has `marker` in it.
+Place frame_with(const fs::path& path, const std::string& marker) {
+  const std::string bytes = content(path), name = path.filename();
+  const auto salt = static_cast<Salt>(std::stoul(name.substr(name.size() - 12, 8), nullptr, 16));
+  Scan scan(salt, bytes);
+  while (const auto found = scan.next())
+    if (const auto* f = std::get_if<Frame>(&*found); f && f->payload.find(marker) != std::string::npos)
+      return {f->offset, f->offset + f->bytes(), f->header.sequence};
+  ADD_FAILURE() << marker << " is not in " << path;
+  return {};
+}
+
+class Tool : public ::testing::Test {
+ protected:
+  Tool() {
+    std::string pattern = (fs::temp_directory_path() / "heronvane-tool-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr)
+      throw std::system_error(errno, std::generic_category(), pattern);
+    root = pattern;
+    folder = root / "state", copy = root / "copy";
+    fs::create_directory(folder);
+  }
+  ~Tool() override { fs::remove_all(root); }
+
+  static Options options() {
+    Options o;
+    o.limit_bytes = 1'000'000;
+    return o;
+  }
+  static Message message(const std::string& id, const std::string& body) {
+    Message m;
+    m.id = id, m.message_class = "pay-and-order", m.tenant = "acme", m.destination = 7, m.body = body;
+    m.deadline = system_clocks().wall + 3'600'000'000;
+    m.repeat = true;
+    return m;
+  }
+  static void take(Store& s, const std::string& id, const std::string& body) {
+    const auto m = message(id, body);
+    ASSERT_TRUE(s.admit(m));
+    s.take(s.next_number(), m);
+    ASSERT_TRUE(s.commit());
+  }
+  // Three messages in the first segment, the last of them over; one in the second, with a fact.
+  void fill() {
+    {
+      const auto disk = open_folder(folder);
+      Store s(*disk, options());
+      take(s, "first", "BODY-1"), take(s, "second", every_byte()), take(s, "third", "BODY-3");
+      s.sent(1, s.clock().now(), 2), s.outcome(1, 0, Outcome::full), s.sent(1, s.clock().now(), 1);
+      s.ending(2, {true, 1'500'000}), s.over(3);
+      ASSERT_TRUE(s.commit());
+    }
+    const auto disk = open_folder(folder);
+    Store s(*disk, options());
+    take(s, "fourth", "BODY-4");
+    s.keep("drain/x", "41");
+    ASSERT_TRUE(s.commit());
+  }
+  static std::string every_byte() {
+    std::string all = "BODY-2";
+    for (int i = 0; i < 256; i++) all += static_cast<char>(i);
+    return all;
+  }
+  fs::path segment(int number) const {
+    for (const auto& f : fs::directory_iterator(folder))
+      if (f.path().filename().string().rfind("segment-000000000" + std::to_string(number), 0) == 0)
+        return f.path();
+    ADD_FAILURE() << "no segment " << number;
+    return {};
+  }
+  Place damage_second() const {
+    const auto place = frame_with(segment(1), "BODY-2");
+    std::string bytes = content(segment(1));
+    bytes[static_cast<std::size_t>(place.to) - 20] ^= 1;
+    put_content(segment(1), bytes);
+    return place;
+  }
+
+  // Its exit status; what it wrote is in `out` and `err`. Whatever it is asked, the folder stays as it is.
+  int run(const std::vector<std::string>& arguments, const std::string& to = {},
+          const std::string& first = {}) {
+    const auto before = files(folder);
+    std::string line = first + "'" HERONVANE_STORE_TOOL "'";
+    for (const auto& a : arguments) line += " '" + a + "'";
+    const fs::path o = to.empty() ? root / "out" : fs::path(to);
+    const int status = std::system((line + " >" + o.string() + " 2>" + (root / "err").string()).c_str());
+    out = to.empty() ? content(o) : "", err = content(root / "err");
+    EXPECT_EQ(files(folder), before) << line;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  void says(const std::string& what) const {
+    EXPECT_NE(out.find(what), std::string::npos) << what << "\n" << out;
+  }
+  void silent_on(const std::string& what) const { EXPECT_EQ(out.find(what), std::string::npos) << out; }
+  void complains(const std::string& what) const { EXPECT_NE(err.find(what), std::string::npos) << err; }
+
+  fs::path root, folder, copy;
+  std::string out, err;
+};
+
+TEST_F(Tool, SoundFolder) {
+  fill();
+  EXPECT_EQ(run({"verify", folder}), 0) << err;
+  says(segment(1).filename().string() + ": format 2, ");
+  says(segment(2).filename().string() + ": format 2, ");
+  says("3 messages held, 1 of them given up; 1 id remembered; 1 fact");
+  says("\nsound\n");
+
+  EXPECT_EQ(run({"show", folder}), 0) << err;
+  says("2: full, not seen");
+  says("given up: deferred, again after 1.5 s");
+  says("third");
+  says("drain/x");
+  silent_on("BODY");
+  EXPECT_EQ(run({"show", folder, "first"}), 0) << err;
+  says("may have run  yes");
+  says("outcome full");
+  says("6 bytes, shown with --body");
+  silent_on("BODY");
+  silent_on("fourth");
+  EXPECT_EQ(run({"show", "--body", folder, "#2"}), 0) << err;
+  says("BODY-2\\x00\\x01");
+  EXPECT_EQ(run({"show", folder, "third"}), 0) << err;
+  says("over; its id is remembered for");
+  EXPECT_EQ(run({"show", folder, "fifth"}), 2);
+  complains("no message of that id");
+}
+
+// What a client calls its message must not reach the terminal as it is.
+TEST_F(Tool, ClientsBytesAreEscaped) {
+  {
+    const auto disk = open_folder(folder);
+    Store s(*disk, options());
+    take(s, "a\x1b[2Jb\xff", "x");
+  }
+  EXPECT_EQ(run({"show", folder}), 0) << err;
+  says("a\\x1b[2Jb\\xff");
+  silent_on("\x1b");
+  EXPECT_EQ(run({"export", folder}), 0) << err;
+  rapidjson::Document d;
+  d.Parse(out.c_str());
+  ASSERT_FALSE(d.HasParseError()) << out;
+  EXPECT_EQ(unbase64(d["id_base64"].GetString()), "a\x1b[2Jb\xff");
+}
+
+TEST_F(Tool, ExportIsJsonAndKeepsEveryByte) {
+  fill();
+  EXPECT_EQ(run({"export", folder}), 0) << err;
+  std::map<std::string, std::vector<rapidjson::Document>> all;
+  std::istringstream lines(out);
+  for (std::string line; std::getline(lines, line);) {
+    rapidjson::Document d;
+    d.Parse(line.c_str());
+    ASSERT_FALSE(d.HasParseError()) << line;
+    all[d["type"].GetString()].push_back(std::move(d));
+  }
+  ASSERT_EQ(all["message"].size(), 3u);
+  ASSERT_EQ(all["remembered"].size(), 1u);
+  ASSERT_EQ(all["fact"].size(), 1u);
+  const auto& first = all["message"][0];
+  EXPECT_EQ(first["number"].GetUint64(), 1u);
+  EXPECT_STREQ(first["class"].GetString(), "pay-and-order");
+  EXPECT_EQ(first["destination"].GetInt64(), 7);
+  EXPECT_TRUE(first["may_have_run"].GetBool());
+  ASSERT_EQ(first["attempts"].Size(), 2u);
+  EXPECT_STREQ(first["attempts"][0]["outcome"].GetString(), "full");
+  EXPECT_EQ(first["attempts"][0]["zone"].GetInt(), 2);
+  EXPECT_TRUE(first["attempts"][1]["outcome"].IsNull());
+  EXPECT_TRUE(first["ending"].IsNull());
+  const auto& second = all["message"][1];
+  EXPECT_EQ(unbase64(second["body_base64"].GetString()), every_byte());
+  EXPECT_EQ(second["ending"]["again"].GetInt64(), 1'500'000);
+  EXPECT_STREQ(all["remembered"][0]["id"].GetString(), "third");
+  EXPECT_STREQ(all["fact"][0]["value"].GetString(), "41");
+}
+
+// An end of the process in the middle of a write is no damage.
+TEST_F(Tool, TornEndIsSound) {
+  fill();
+  const auto place = frame_with(segment(2), "drain/x");
+  fs::resize_file(segment(2), place.to - 5);
+  EXPECT_EQ(run({"verify", folder}), 0) << out;
+  says("torn end: bytes " + std::to_string(place.from) + " to " + std::to_string(place.to - 5));
+  says("\nsound\n");
+}
+
+TEST_F(Tool, DamageIsToldWithItsPlace) {
+  fill();
+  const auto place = damage_second();
+  EXPECT_EQ(run({"verify", folder}), 1) << err;
+  says("damaged: bytes " + std::to_string(place.from) + " to " + std::to_string(place.to) + "\n");
+  says("missing: record " + std::to_string(place.sequence) + "\n");
+  says("DAMAGED: 1 place, about 1 record missing; 1 message held");
+  EXPECT_EQ(run({"show", folder}), 1);
+  says("open; in doubt");
+  complains("verify");
+  EXPECT_EQ(run({"export", folder}), 1);
+  says("\"doubt\":true");
+}
+
+TEST_F(Tool, MissingSegmentIsTold) {
+  fill();
+  fs::remove(segment(1));
+  EXPECT_EQ(run({"verify", folder}), 1) << err;
+  says("segment 1: its file is gone\n  missing: records 1 to ");
+  EXPECT_EQ(run({"repair", folder, copy}), 1) << err;
+  says("lost: segment 1: its file is gone");
+  EXPECT_EQ(run({"verify", copy}), 0) << out;
+  says("1 message held");
+}
+
+TEST_F(Tool, RepairedCopyIsSoundAndHoldsWhatCouldBeRead) {
+  fill();
+  damage_second();
+  EXPECT_EQ(run({"repair", folder, copy}), 1) << err;
+  says("lost: " + segment(1).filename().string() + ": bytes ");
+  says("in doubt: message 1, id first");
+  says("written and read back: 2 messages, 1 ids, 1 facts");
+  EXPECT_EQ(run({"verify", copy}), 0) << out;
+
+  // A start on the folder itself and one on the copy find the same.
+  const auto d1 = open_folder(folder), d2 = open_folder(copy);
+  const Store s1(*d1, options()), s2(*d2, options());
+  EXPECT_TRUE(s2.recovery().damaged.empty());
+  EXPECT_EQ(s2.next_number(), s1.next_number());
+  EXPECT_EQ(s2.facts(), s1.facts());
+  EXPECT_TRUE(s2.remembers("third"));
+  ASSERT_EQ(s2.held().size(), 2u);
+  const Held &a = s1.held().at(1), &b = s2.held().at(1);
+  EXPECT_TRUE(b.doubt);
+  EXPECT_EQ(b.message.deadline, a.message.deadline);
+  ASSERT_EQ(b.attempts.size(), 2u);
+  EXPECT_EQ(b.attempts[0].sent, a.attempts[0].sent);
+  EXPECT_EQ(b.attempts[0].outcome, Outcome::full);
+  EXPECT_FALSE(s2.held().at(4).doubt);
+  EXPECT_EQ(s2.held().at(4).message.body, "BODY-4");
+}
+
+// More than one segment, each of the size that the store gives them.
+TEST_F(Tool, RepairOfManyMessages) {
+  {
+    const auto disk = open_folder(folder);
+    Store s(*disk, options());
+    for (int i = 0; i < 100; i++) take(s, "m" + std::to_string(i), std::string(3000, 'b'));
+  }
+  EXPECT_EQ(run({"repair", folder, copy}), 0) << err;
+  EXPECT_EQ(run({"verify", copy}), 0) << out;
+  const auto disk = open_folder(copy);
+  const Store s(*disk, options());
+  EXPECT_EQ(s.held().size(), 100u);
+  EXPECT_GT(s.recovery().segments, 5u);
+  EXPECT_EQ(s.recovery().counts.missing, 0u);
+}
+
+// A volume that is full in the middle of it: nothing half done is left.
+TEST_F(Tool, RepairThatFailsLeavesNothing) {
+  {
+    const auto disk = open_folder(folder);
+    Store s(*disk, options());
+    for (int i = 0; i < 10; i++) take(s, "m" + std::to_string(i), std::string(30'000, 'b'));
+  }
+  EXPECT_EQ(run({"repair", folder, copy}, {}, "trap '' XFSZ; ulimit -f 16; "), 2);
+  complains("File too large");
+  EXPECT_FALSE(fs::exists(copy));
+  fs::create_directory(copy);
+  EXPECT_EQ(run({"repair", folder, copy}, {}, "trap '' XFSZ; ulimit -f 16; "), 2);
+  EXPECT_TRUE(fs::is_empty(copy));
+}
+
+TEST_F(Tool, RepairRefusesOtherPlaces) {
+  fill();
+  fs::create_directory(copy);
+  put_content(copy / "precious", "x");
+  EXPECT_EQ(run({"repair", folder, copy}), 2);
+  complains("not empty");
+  EXPECT_EQ(content(copy / "precious"), "x");
+  EXPECT_EQ(run({"repair", folder, folder}), 2);
+  EXPECT_EQ(run({"repair", folder, folder / "inside"}), 2);
+  complains("must stay as it is");
+  EXPECT_EQ(run({"repair", folder, root / "no" / "such"}), 2);
+  complains("no/such");
+}
+
+// As a copy turns out that is made file by file while the relay writes.
+TEST_F(Tool, CopyOfAFolderInUse) {
+  const auto disk = open_folder(folder);
+  auto s = std::make_unique<Store>(*disk, options());
+  take(*s, "first", "BODY-1");
+  fs::create_directory(copy);
+  fs::copy(segment(1), copy / segment(1).filename());
+  take(*s, "second", "BODY-2");
+  s = std::make_unique<Store>(*disk, options());
+  take(*s, "third", "BODY-3");
+  fs::copy(segment(2), copy / segment(2).filename());
+  EXPECT_EQ(run({"verify", copy}), 1) << out << err;
+  says("cut off at byte " + std::to_string(fs::file_size(copy / segment(1).filename())));
+  says("2 messages held");
+  EXPECT_EQ(run({"repair", copy, root / "sound"}), 1) << err;
+  EXPECT_EQ(run({"verify", root / "sound"}), 0) << out;
+}
+
+TEST_F(Tool, FolderInUseIsRefused) {
+  fill();
+  const auto disk = open_folder(folder);
+  for (const std::string command : {"verify", "show", "export"}) {
+    EXPECT_EQ(run({command, folder}), 3) << command;
+    complains("another process has " + folder.string());
+    EXPECT_EQ(out, "");
+  }
+  EXPECT_EQ(run({"repair", folder, copy}), 3);
+  EXPECT_FALSE(fs::exists(copy));
+}
+
+// The tool shuts out relays, not other tools.
+TEST_F(Tool, SeveralMayLook) {
+  fill();
+  const auto disk = open_folder(folder, true);
+  EXPECT_EQ(run({"verify", folder}), 0) << err;
+}
+
+TEST_F(Tool, FormatOne) {
+  const auto number = [](auto v) { return std::string(reinterpret_cast<const char*>(&v), sizeof v); };
+  const auto text = [&](const std::string& s) { return number(static_cast<std::uint32_t>(s.size())) + s; };
+  const auto frame = [&](const std::string& payload) {
+    boost::crc_32_type crc;
+    crc.process_bytes(payload.data(), payload.size());
+    return number(static_cast<std::uint32_t>(payload.size())) + number(crc.checksum()) + payload;
+  };
+  const Time deadline = system_clocks().wall + 60'000'000;
+  std::string journal = "heronvane journal 1\n";
+  for (const MessageId n : {1, 2})
+    journal += frame("T" + number(n) + text("old-" + std::to_string(n)) + text("c") + text("t") +
+                     number(std::int64_t{3}) + number(deadline) + '\0' + text("BODY"));
+  journal += frame("S" + number(MessageId{2}) + number(deadline - 60'000'000) + number(std::int32_t{1}));
+  put_content(folder / "journal", journal);
+  EXPECT_EQ(run({"verify", folder}), 0) << err;
+  says("journal: format 1, " + std::to_string(journal.size()) + " bytes, 3 records");
+  EXPECT_EQ(run({"show", folder}), 0) << err;
+  says("old-2");
+  EXPECT_EQ(run({"repair", folder, copy}), 0) << err;
+  {
+    const auto disk = open_folder(copy);
+    const Store s(*disk, options());
+    ASSERT_EQ(s.held().size(), 2u);
+    EXPECT_EQ(s.held().at(2).attempts.size(), 1u);
+  }
+  put_content(folder / "journal", journal + frame("X" + number(MessageId{1})).substr(0, 12));
+  EXPECT_EQ(run({"verify", folder}), 0) << err;
+  says("torn end: bytes " + std::to_string(journal.size()) + " to " + std::to_string(journal.size() + 12));
+  put_content(folder / "journal", "heronvane journal 7\nwhatever it may hold");
+  EXPECT_EQ(run({"verify", folder}), 2);
+  complains("format that this program does not know");
+}
+
+TEST_F(Tool, WrongArguments) {
+  fill();
+  const std::vector<std::pair<std::vector<std::string>, std::string>> wrong = {
+      {{}, "no command"},
+      {{"mend", folder}, "unknown command mend"},
+      {{"verify"}, "needs a FOLDER"},
+      {{"verify", folder, "x"}, "too many"},
+      {{"verify", folder, "--fast"}, "unknown option --fast"},
+      {{"repair", folder}, "needs a COPY"},
+      {{"show", folder, "--body"}, "--body belongs to"},
+      {{"verify", root / "nowhere"}, "nowhere"},
+      {{"verify", root}, "holds no file of a store"},
+      {{"verify", segment(1)}, "Not a directory"}};
+  for (const auto& [arguments, why] : wrong) {
+    EXPECT_EQ(run(arguments), 2) << why;
+    complains(why);
+    EXPECT_EQ(out, "");
+  }
+  EXPECT_EQ(run({"--help"}), 0);
+  says("heronvane-store repair FOLDER COPY");
+  EXPECT_EQ(run({"--version"}), 0);
+  says("formats 1 and 2");
+}
+
+// Messages are not saved where the volume behind standard output is full.
+TEST_F(Tool, OutputThatCannotBeWrittenIsTold) {
+  fill();
+  EXPECT_EQ(run({"export", folder}, "/dev/full"), 2);
+  complains("not complete");
+}
+
+}  // namespace
+}  // namespace heronvane::store::testing
--- /dev/null
+++ b/tools/store/rewrite.cpp
@@ -0,0 +1,173 @@
+// repair: a new folder with all that could be read of another one.
+#include <filesystem>
+#include <random>
+
+#include "commands.hpp"
+#include "store/admission.hpp"
+#include "store/store.hpp"
+
+namespace heronvane::store::tool {
+namespace {
+
+namespace fs = std::filesystem;
+
+const std::string kGuard = "journal.next";
+
+void check(std::error_code bad, const std::string& what) {
+  if (bad) throw std::system_error(bad, what);
+}
+
+// Segments of a fresh store, one after the other.
+class Writer {
+ public:
+  Writer(Disk& disk, const Folder& folder)
+      : disk_(disk), from_(folder), most_(segment_bytes(bytes_of(folder))) {}
+  // What was written is removed again, unless keep() was called.
+  ~Writer() {
+    if (kept_) return;
+    for (const auto& name : names_) disk_.remove(name);
+  }
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  void put(const Record& record) {
+    Batch batch(salt_);
+    batch.add(record);
+    put(batch);
+  }
+  void put(MessageId number, const Held& held) {
+    Batch batch(salt_);
+    batch.add(number, held);
+    put(batch);
+  }
+  void finish() {
+    if (text_.empty()) begin();
+    flush();
+  }
+  void keep() { kept_ = true; }
+
+ private:
+  static std::uint64_t bytes_of(const Folder& folder) {
+    std::uint64_t bytes = 0;
+    for (const auto& [number, file] : folder.contents.files) bytes += file.bytes;
+    return bytes;
+  }
+  void begin() {
+    record::Segment head;
+    head.number = ++number_;
+    head.next_message = from_.contents.table.next_number();
+    // The one that was found: a start on the copy then sees the same gap as one on the folder would.
+    head.anchor = from_.anchor;
+    head.others = done_;
+    Batch batch(salt_);
+    batch.add(head);
+    text_ = batch.stamped(next_++);
+  }
+  void put(Batch& batch) {
+    if (!text_.empty() && text_.size() + batch.bytes() > most_) flush();
+    if (text_.empty()) begin();
+    text_ += batch.stamped(next_);
+    next_ += batch.count();
+  }
+  void flush() {
+    const std::string name = segment_name(number_, salt_);
+    FileId file = -1;
+    check(disk_.open(name, Disk::Access::create, file), name);
+    names_.push_back(name);
+    std::size_t written = 0;
+    auto bad = disk_.write(file, 0, text_, written);
+    if (!bad) bad = disk_.sync(file);
+    disk_.close(file);
+    check(bad, name);
+    done_.push_back({number_, next_});
+    text_.clear();
+  }
+
+  Disk& disk_;
+  const Folder& from_;
+  std::uint64_t most_;
+  Salt salt_ = std::random_device{}();
+  SegmentNumber number_ = 0;
+  Sequence next_ = 1;
+  std::string text_;  // of the segment that was begun
+  std::vector<record::Segment::Other> done_;
+  std::vector<std::string> names_;
+  bool kept_ = false;
+};
+
+bool same(const Held& a, const Held& b) {
+  const auto attempt = [](const Attempt& x, const Attempt& y) {
+    return x.sent == y.sent && x.zone == y.zone && x.outcome == y.outcome;
+  };
+  const Message &m = a.message, &n = b.message;
+  return m.id == n.id && m.message_class == n.message_class && m.tenant == n.tenant &&
+         m.destination == n.destination && m.deadline == n.deadline && m.repeat == n.repeat &&
+         m.body == n.body && a.doubt == b.doubt && a.ending.has_value() == b.ending.has_value() &&
+         (!a.ending || (a.ending->deferred == b.ending->deferred && a.ending->again == b.ending->again)) &&
+         std::equal(a.attempts.begin(), a.attempts.end(), b.attempts.begin(), b.attempts.end(), attempt);
+}
+
+bool same(const Table& a, const Table& b) {
+  const auto held = [](const auto& x, const auto& y) {
+    return x.first == y.first && same(x.second, y.second);
+  };
+  const auto over = [](const record::Over& x, const record::Over& y) {
+    return x.number == y.number && x.id == y.id && x.remember_until == y.remember_until;
+  };
+  const auto ids = a.remembered_ids(), others = b.remembered_ids();
+  return std::equal(a.held().begin(), a.held().end(), b.held().begin(), b.held().end(), held) &&
+         std::equal(ids.begin(), ids.end(), others.begin(), others.end(), over) && a.facts() == b.facts() &&
+         a.next_number() <= b.next_number();
+}
+
+// Removed again, where it was made here, unless it is kept.
+class Made {
+ public:
+  Made(const std::string& path, const std::string& from) : path_(path) {
+    const auto real = fs::weakly_canonical(path), folder = fs::canonical(from);
+    const auto [in, rest] = std::mismatch(folder.begin(), folder.end(), real.begin(), real.end());
+    if (in == folder.end())
+      throw StoreError(path + " is in " + from + ", which must stay as it is: name another place");
+    made_ = fs::create_directory(path);
+    if (made_) fs::permissions(path, fs::perms::owner_all);
+    if (!fs::is_empty(path))
+      throw StoreError(path + " is not empty: name a folder that is, or one that does not exist");
+  }
+  ~Made() {
+    std::error_code ignored;
+    if (kept_) return;
+    fs::remove(fs::path(path_) / kGuard, ignored);
+    if (made_) fs::remove(path_, ignored);
+  }
+  Made(const Made&) = delete;
+  Made& operator=(const Made&) = delete;
+  void keep() { kept_ = true; }
+
+ private:
+  std::string path_;
+  bool made_ = false, kept_ = false;
+};
+
+}  // namespace
+
+void rewrite(const Folder& folder, const std::string& copy) {
+  Made made(copy, folder.path);
+  const auto disk = open_folder(copy);
+  Writer writer(*disk, folder);
+  const Table& table = folder.contents.table;
+  for (const auto& [number, held] : table.held()) writer.put(number, held);
+  for (const auto& over : table.remembered_ids()) writer.put(over);
+  for (const auto& [key, value] : table.facts()) writer.put(record::Fact{key, value});
+  LastingClock clock;
+  writer.finish();
+  const Contents again = read_folder(*disk, clock, system_clocks);
+  if (!again.damage.empty() || again.counts.missing > 0 || !same(table, again.table))
+    throw StoreError(copy + " does not read back as it was written: keep " + folder.path +
+                     ", try another volume, and save the messages with `export`");
+  // As a start makes it: an earlier version would begin anew beside these files.
+  check(disk->make_folder(kGuard), kGuard);
+  check(disk->sync_folder(), copy);
+  writer.keep(), made.keep();
+}
+
+}  // namespace heronvane::store::tool
