--- a/relay/store/recovery.hpp
+++ b/relay/store/recovery.hpp
@@ -66,8 +66,8 @@
   std::vector<Damage> damage;  // in the order of the segments
   std::vector<MissingRun> missing;
   std::size_t doubtful = 0;  // messages of which records may be missing
-  std::vector<MessageId>
-      doubted;  // of these, those whose records do not say so yet; all are flagged in `table`
+  // Of these, those whose records do not say so yet; all are flagged in `table`.
+  std::vector<MessageId> doubted;
 };
 
 // Reads the folder of `disk`; `clock` goes on from the last anchor found. Times in what comes back are
