--- a/relay/store/recovery.hpp
+++ b/relay/store/recovery.hpp
@@ -43,10 +43,9 @@
   Salt salt = 0;
   bool old = false;  // of format 1
   // Of what was read; nothing of one that was dropped.
-  std::uint64_t records = 0;        // that are whole, also those of torn batches
-  Sequence first = 0, last = 0;     // the first and the last of them; 0 where there is none, or of format 1
-  std::optional<TornEnd> torn;      // at its end
-  std::vector<MissingRun> missing;  // records that should stand in it
+  std::uint64_t records = 0;     // that are whole, also those of torn batches
+  Sequence first = 0, last = 0;  // the first and the last of them; 0 where there is none, or of format 1
+  std::optional<TornEnd> torn;   // at its end
 };
 
 struct Contents {
@@ -67,8 +66,8 @@
   std::vector<Damage> damage;  // in the order of the segments
   std::vector<MissingRun> missing;
   std::size_t doubtful = 0;  // messages of which records may be missing
-  std::vector<MessageId>
-      doubted;  // of these, those whose records do not say so yet; all are flagged in `table`
+  // Of these, those whose records do not say so yet; all are flagged in `table`.
+  std::vector<MessageId> doubted;
 };
 
 // Reads the folder of `disk`; `clock` goes on from the last anchor found. Times in what comes back are
