--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -88,6 +88,7 @@
   if (!in) throw std::runtime_error("LB_CONFIG: can't read " + file);
   Config c = read_config({std::istreambuf_iterator<char>(in), {}});
   c.state_folder = environment("LB_STATE");
+  c.own = load_operator_settings();
   return c;
 }
 
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -8,6 +8,7 @@
 
 #include "cedarplank/dispatcher.hpp"
 #include "members.hpp"
+#include "operator_settings.hpp"
 #include "settings.hpp"
 
 namespace heronvane {
@@ -27,12 +28,13 @@
   cedarplank::adapter::Tables names;
   bool reports_in_answers = false;
   MemberList known;
+  OperatorSettings own;
 };
 
 // Throws std::exception whose text names the field that can't be read.
 Config read_config(const std::string& json);
 
-// The file that LB_CONFIG names, with LB_STATE for the folder that lasts.
+// The file that LB_CONFIG names, with LB_STATE for the folder that lasts and the operator's settings.
 Config load_config();
 
 }  // namespace heronvane
--- /dev/null
+++ b/relay/core/list_memory.hpp
@@ -0,0 +1,62 @@
+// What discovery told of endpoints that drain or are gone, as it outlasts the process. No input or output
+// here.
+//
+// After a restart the configuration's `known` list, or a list from a discovery that lags, may name such an
+// endpoint as ready. What was told holds until a list of the same discovery that is not older says otherwise,
+// or another discovery's does: never until `known` does.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "cedarplank/dispatcher.hpp"
+#include "members.hpp"
+
+namespace heronvane {
+
+// Of an endpoint that drains or is gone.
+struct Unfit {
+  cedarplank::Listing listing = cedarplank::Listing::draining;  // or gone
+  std::int64_t index = 0;                                       // of the list that told it
+  cedarplank::Time told = 0;                                    // lasting time
+  std::string discovery;                                        // the address that told it
+};
+// As kept in the store; nothing where the text is no such thing.
+std::string write_unfit(const Unfit& unfit);
+std::optional<Unfit> read_unfit(const std::string& text);
+
+class ListMemory {
+ public:
+  // Keeps a value by its key over restarts, an empty one drops it; false where there is no room.
+  using Keep = std::function<bool(const std::string& key, const std::string& value)>;
+
+  // Takes back from `facts` what earlier lives kept; what is older than an hour and not named by `known` is
+  // dropped. `now` is lasting time, here and below.
+  ListMemory(const std::map<std::string, std::string>& facts, const MemberList& known, cedarplank::Time now,
+             Keep keep);
+
+  // The configuration's list as it holds: without those that are gone, with those that drain.
+  MemberList known(MemberList list) const;
+  // A list or changes as told by `discovery`, as they hold; what they tell is remembered.
+  MemberList told(MemberList list, const std::string& discovery, cedarplank::Time now);
+  // A whole list with that index does not name the endpoint any more.
+  void gone(const cedarplank::EndpointId& endpoint, std::int64_t index, const std::string& discovery,
+            cedarplank::Time now);
+
+  std::size_t size() const { return unfit_.size(); }
+
+ private:
+  void remember(const cedarplank::EndpointId& endpoint, Unfit unfit);
+  void forget(const cedarplank::EndpointId& endpoint);
+  void make_room();
+
+  Keep keep_;
+  std::set<cedarplank::EndpointId> known_;
+  std::map<cedarplank::EndpointId, Unfit> unfit_;
+};
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/core/target_memory.hpp
@@ -0,0 +1,44 @@
+// What the module learned of its targets, as the store keeps it. No input or output here.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+
+namespace heronvane {
+
+// The key under which the store keeps what was learned of that endpoint.
+std::string target_key(const cedarplank::EndpointId& endpoint);
+
+// With the moment when it was learned, in lasting time; nothing where the text is no such thing.
+std::string write_target(const cedarplank::TargetMemory& memory, cedarplank::Time learned);
+struct LearnedTarget {
+  cedarplank::TargetMemory memory;
+  cedarplank::Time learned = 0;
+};
+std::optional<LearnedTarget> read_target(const cedarplank::EndpointId& endpoint, const std::string& text);
+
+// What earlier lives learned and this one has not given back to the module yet.
+class RecalledTargets {
+ public:
+  struct Which {
+    bool health = true;  // health, ramp, delay and pace
+    bool waits = true;   // told waits
+  };
+  RecalledTargets(const std::map<std::string, std::string>& facts, Which which);
+
+  // What was learned of an endpoint that is listed now, as an event at `now`; once. `gap`: of the time since
+  // then, what only the wall clock vouches for; no wait is shortened by it.
+  std::optional<cedarplank::event::TargetRecalled> take(const cedarplank::EndpointId& endpoint,
+                                                        cedarplank::Time now, cedarplank::Time gap);
+  std::size_t size() const { return targets_.size(); }
+
+ private:
+  Which which_;
+  std::map<cedarplank::EndpointId, LearnedTarget> targets_;
+};
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/operator_settings.hpp
@@ -0,0 +1,27 @@
+// Settings that belong to the operator of an installation, not to the platform: the TOML file that
+// HERONVANE_SETTINGS names (deploy/heronvane.toml lists them all). Without one all stands as given here.
+#pragma once
+
+#include <string>
+
+#include "clock.hpp"
+#include "store/store.hpp"
+
+namespace heronvane {
+
+struct OperatorSettings {
+  struct Store {
+    store::Durability durability = store::Durability::process;
+    bool keep_health = true;            // what was learned of endpoints: out, returning, their limits
+    bool keep_waits = false;            // waits that endpoints told; PROTOCOL lets a restart end them
+    Time remember_window = 10'000'000;  // ids of messages that are over, past their deadlines
+  } store;
+};
+
+// Throws std::runtime_error naming `file`, the line and the key that can't be read, or is none.
+OperatorSettings read_operator_settings(const std::string& text, const std::string& file);
+
+// The file that HERONVANE_SETTINGS names; the defaults where it names none.
+OperatorSettings load_operator_settings();
+
+}  // namespace heronvane
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -33,6 +33,7 @@
   // Discovery is found elsewhere from now on: what is under way at the old address begins again at the new
   // one.
   void move(const boost::asio::ip::tcp::endpoint& address);
+  const boost::asio::ip::tcp::endpoint& address() const { return address_; }
   // Sent until the platform has it; `noticed` tells when.
   void notice(MessageId id, const std::string& wire_id, const Ending& ending);
   bool notices_owed() const { return !owed_.empty(); }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -50,6 +50,8 @@
            c.settings.classes[static_cast<std::size_t>(cls->second)].effect != cedarplank::Effect::safe;
   };
   options.log = log;
+  options.durability = c.own.store.durability;
+  options.remember_window = c.own.store.remember_window;
   return options;
 }
 
@@ -86,7 +88,13 @@
       folder_(store::open_folder(config.state_folder)),
       listener_(listening(io, config.listen)),
       peers_(hear_peers()),
-      store_(*folder_, store_options(config)),
+      sync_thread_(sync_thread()),
+      store_(*folder_, store_options(config), sync_thread_.get()),
+      list_memory_(
+          store_.facts(), config.known, store_.clock().now(),
+          [this](const std::string& key, const std::string& value) { return store_.keep(key, value); }),
+      known_(list_memory_.known(config.known)),
+      recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits}),
       dispatcher_(config.settings, config.seed),
       calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
       platform_(
@@ -102,12 +110,14 @@
       stall_timer_(io),
       drain_timer_(io),
       compact_timer_(io) {
-  for (const auto& m : config.known.members) {
+  for (const auto& m : known_.members) {
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
-    destinations_.insert(m.endpoint.destination);
   }
-  events_.push_back(event::ListWhole{endpoints_of(config.known), true});
+  for (const auto& m : config.known.members) destinations_.insert(m.endpoint.destination);
+  events_.push_back(event::ListWhole{endpoints_of(known_), true});
+  store_.on_sync([this] { synced(); });
+  recall();
   recover();
   intake_.emplace(
       io, std::move(listener_), config.settings, config.names,
@@ -126,6 +136,15 @@
                                  });
 }
 
+// Syncs that are under way need the store's files.
+Relay::~Relay() { sync_thread_.reset(); }
+
+std::unique_ptr<store::SyncThread> Relay::sync_thread() {
+  if (config_.own.store.durability != store::Durability::machine) return nullptr;
+  return std::make_unique<store::SyncThread>(
+      *folder_, [this](std::function<void()> done) { net::post(io_, std::move(done)); });
+}
+
 // What was taken on in an earlier life is still owed its end.
 void Relay::recover() {
   std::vector<MessageId> unknown;
@@ -234,11 +253,17 @@
 }
 
 void Relay::listed(MemberList list) {
+  const std::string discovery = text_of(platform_.address());
+  const Time now = store_.clock().now();
+  list = list_memory_.told(std::move(list), discovery, now);
   if (list.snapshot) {
     std::set<EndpointId> named;
     for (const auto& m : list.members) named.insert(m.endpoint.id);
-    for (auto& [id, e] : endpoints_)
-      if (named.count(id) == 0) e.listing = Listing::gone;
+    for (auto& [id, e] : endpoints_) {
+      if (named.count(id) > 0) continue;
+      e.listing = Listing::gone;
+      list_memory_.gone(id, list.index, discovery, now);
+    }
   }
   for (const auto& m : list.members) {
     calls_.locate(m.endpoint.id, m.address);
@@ -264,6 +289,25 @@
     happened(event::ListWhole{endpoints_of(list), false});
   else
     happened(event::ListChanges{endpoints_of(list)});
+  recall();
+}
+
+// What earlier lives learned of endpoints that are listed now is the module's again.
+void Relay::recall() {
+  if (recalled_.size() == 0 || unwritten_) return;
+  const Time now = store_.clock().now(), gap = store_.clock().assumed_gap();
+  for (const auto& [id, e] : endpoints_)
+    if (auto target = recalled_.take(id, now, gap)) happened(std::move(*target));
+}
+
+// What the module learned goes into the records of this round.
+void Relay::remember_targets() {
+  constexpr std::size_t kMostTargets = 64;  // the rest come with the next round
+  const auto& own = config_.own.store;
+  if (!own.keep_health && !own.keep_waits) return;
+  const Time now = store_.clock().now();
+  for (const auto& memory : dispatcher_.learned(last_round_, kMostTargets))
+    store_.keep(target_key(memory.endpoint), memory.blank() ? std::string() : write_target(memory, now));
 }
 
 void Relay::schedule() {
@@ -287,7 +331,10 @@
     unanswered_[id] = std::move(a.reply);
     store_.take(id, std::move(a.message));
   }
-  if (!frozen_ && !unwritten_) decide(plan);
+  if (!frozen_ && !unwritten_) {
+    decide(plan);
+    remember_targets();
+  }
   for (auto& [id, reply] : unanswered_) plan.answers.push_back({id, std::move(reply), {202, 0}});
   unanswered_.clear();
   settle(std::move(plan));
@@ -393,6 +440,7 @@
       std::vector<cedarplank::Endpoint> all;
       for (const auto& [id, e] : endpoints_) all.push_back(e);
       happened(event::ListWhole{std::move(all), false});
+      recall();
     }
     schedule();  // what came meanwhile is decided on now
   }
@@ -410,6 +458,17 @@
   retry_later();
 }
 
+// Durability for the machine: records stand, or a disk is in trouble and clients wait only so long.
+void Relay::synced() {
+  carry_out();
+  if (!store_.trouble().empty()) {
+    // Their records may stand after all, so nothing is promised.
+    turn_away(outbox_.take_answers(), 504);
+    retry_later();
+  }
+  if (store_.wants_compaction()) compact();
+}
+
 void Relay::retry_later() {
   stall_timer_.expires_after(kStallRetry);
   stall_timer_.async_wait([this](error_code bad) {
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -17,13 +17,16 @@
 #include "calls.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
+#include "core/list_memory.hpp"
 #include "core/outbox.hpp"
+#include "core/target_memory.hpp"
 #include "intake.hpp"
 #include "peers.hpp"
 #include "platform.hpp"
 #include "recent.hpp"
 #include "store/disk.hpp"
 #include "store/store.hpp"
+#include "store/sync_thread.hpp"
 
 namespace heronvane {
 
@@ -32,6 +35,9 @@
   // Takes the folder and the addresses, then what an earlier life left; from then on clients are accepted.
   // Throws where the folder or an address is in use; what is held was not touched then.
   Relay(boost::asio::io_context& io, const Config& config);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
 
   // Takes over what may change while the relay runs: where discovery is found.
   void reconfigure(const Config& config);
@@ -45,7 +51,10 @@
   };
 
   std::unique_ptr<Peers> hear_peers();
+  std::unique_ptr<store::SyncThread> sync_thread();
   void recover();
+  void recall();
+  void remember_targets();
   void arrive(Message message, Time left, Reply reply);
   void ended(const cedarplank::event::AttemptEnded& e);
   void listed(MemberList list);
@@ -58,6 +67,7 @@
   void round();
   void decide(Plan& plan);
   void settle(Plan plan = {});
+  void synced();
   void not_written();
   void retry_later();
   void keep_from(const EndpointId& endpoint);
@@ -82,10 +92,14 @@
   const Config& config_;
   // In this order: a start that fails for want of the folder or an address has not touched what is held.
   std::unique_ptr<store::Disk> folder_;
-  boost::asio::ip::tcp::acceptor listener_;  // until the intake has it
-  std::unique_ptr<Peers> peers_;             // where the settings allow notes
+  boost::asio::ip::tcp::acceptor listener_;         // until the intake has it
+  std::unique_ptr<Peers> peers_;                    // where the settings allow notes
+  std::unique_ptr<store::SyncThread> sync_thread_;  // where records must outlast the machine
   store::Store store_;
   Outbox outbox_;  // until their records stand
+  ListMemory list_memory_;
+  MemberList known_;  // the configuration's list, as it holds
+  RecalledTargets recalled_;
   cedarplank::Dispatcher dispatcher_;
   Calls calls_;
   Platform platform_;
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -1,9 +1,11 @@
-// The folder that lasts, seen from outside: starts that fail or come twice, over loopback sockets.
+// The folder that lasts, seen from outside over loopback sockets: starts that fail or come twice, what
+// outlives the process, a disk that is full.
 #include "relay_harness.hpp"
 
 namespace heronvane::testing {
 namespace {
 
+const char* const kSafe = "load-status";
 const char* const kUnsafe = "pay-and-order";
 
 class FolderTest : public RelayTest {
@@ -26,6 +28,20 @@
     for (int i = 0; i < n; i++)
       ASSERT_EQ(hand_in("m" + std::to_string(i), kUnsafe, std::string(500, 'x'), "24000m"), 202u);
   }
+  // An address where nobody answers.
+  std::string nowhere() {
+    tcp::acceptor probe(io, {net::ip::make_address(own_address()), 0});
+    return own_address() + ":" + std::to_string(probe.local_endpoint().port());
+  }
+  // Starts with discovery down; what the configuration and the folder say is all there is.
+  void start_without_discovery() {
+    spawn(config(nowhere()));
+    wait_for([this] { return health() == 200; }, "the relay is ready");
+  }
+  void limit_files(rlim_t bytes) {
+    const rlimit limit{bytes, RLIM_INFINITY};
+    ASSERT_EQ(::prlimit(child, RLIMIT_FSIZE, &limit, nullptr), 0);
+  }
   void expect_each_called_once(int n) {
     members = member("s-1", endpoint.address());
     start();
@@ -99,5 +115,235 @@
   expect_each_called_once(3);
 }
 
+// ---- What outlives the process. ----
+// The same unsafe id handed in again used to run twice when a restart lay between.
+TEST_F(FolderTest, AnUnsafeIdThatIsOverIsNotRunAgainAfterARestart) {
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  kill_relay();
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the next message's call");
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m2");
+  EXPECT_EQ(hand_in("m3", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 3; }, "another call");
+  EXPECT_EQ(endpoint.got[2].request["X-Request-Id"], "m3");
+}
+
+// What discovery told of endpoints holds against the configuration's old list while discovery is down.
+// Messages used to go to an endpoint known to be gone.
+TEST_F(FolderTest, AnEndpointThatWasToldToBeGoneIsNotUsedAfterARestart) {
+  Server drained(io, answer_ok), other(io, answer_ok);
+  members = member("s-1", endpoint.address()) + "," + member("s-2", drained.address()) + "," +
+            member("s-3", other.address());
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  std::string fresh = member("s-8", other.address());
+  fresh.replace(fresh.find("\"group\":7"), 9, "\"group\":8");
+  tell(list(member("s-1", endpoint.address(), "gone") + "," + member("s-2", drained.address(), "draining") +
+                "," + fresh,
+            false));
+  int n = 0;
+  wait_for(
+      [&] {
+        std::string probe = request("probe" + std::to_string(n++), kSafe);
+        probe.replace(probe.find("dest=7"), 6, "dest=8");
+        return ask(probe) == 202u;  // 404 until the list is read
+      },
+      "the list is read");
+  EXPECT_EQ(hand_in("last", kSafe), 202u);  // a round later
+  kill_relay();
+  const auto gone = endpoint.got.size(), left = drained.got.size();
+  start_without_discovery();
+  std::set<std::string> called;
+  for (int i = 0; i < 12; i++) EXPECT_EQ(hand_in("after-" + std::to_string(i), kSafe), 202u);
+  wait_for(
+      [&] {
+        for (const auto& g : other.got) called.insert(std::string(g.request["X-Request-Id"]));
+        return called.count("after-11") > 0;
+      },
+      "the calls");
+  EXPECT_EQ(endpoint.got.size(), gone);
+  EXPECT_EQ(drained.got.size(), left);
+  // A list that is not older says that they are back.
+  kill_relay();
+  members = member("s-1", endpoint.address()) + "," + member("s-2", drained.address());
+  start();
+  EXPECT_EQ(hand_in("back", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() + drained.got.size() > gone + left; },
+           "one of them is used again");
+}
+
+class WaitTest : public FolderTest {
+ protected:
+  // The first call is answered by a wait of 4 s; the relay dies. How many calls come in the next life, in
+  // which two more messages are handed in, before that time is up.
+  std::size_t calls_before_it_ends() {
+    endpoint.on_request([](const Got& g) { g.session->answer(429, "X-Come-Back-Ms: 4000\r\n"); });
+    start();
+    EXPECT_EQ(hand_in("m0", kSafe, "x", "12000m"), 202u);
+    wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+    const auto told = std::chrono::steady_clock::now();
+    // Its outcome stands in the folder once what came after it does.
+    wait_for([&] { return hand_in("m1", kSafe, "x", "12000m") == 202u; }, "the next message");
+    kill_relay();
+    endpoint.on_request(answer_ok);
+    start();
+    EXPECT_EQ(hand_in("m2", kSafe, "x", "12000m"), 202u);
+    std::size_t early = 0;
+    wait_for(
+        [&] {
+          if (std::chrono::steady_clock::now() < told + std::chrono::milliseconds(3900))
+            early = endpoint.got.size() - 1;
+          return endpoint.got.size() >= 4;
+        },
+        "all are delivered in the end");
+    return early;
+  }
+};
+
+TEST_F(WaitTest, AToldWaitHoldsOverARestartWhereThatIsSet) {
+  own_settings = "[store]\nkeep_waits = true\n";
+  EXPECT_EQ(calls_before_it_ends(), 0u);
+}
+TEST_F(WaitTest, ElseARestartEndsIt) { EXPECT_GT(calls_before_it_ends(), 0u); }
+
+// An endpoint that was out when the process ended is tried with care by the next one: rule 4 holds over
+// restarts.
+class OutageTest : public FolderTest {
+ protected:
+  // How many calls come before the first is answered, in the life after one that saw the endpoint go silent.
+  std::size_t calls_at_once() {
+    workers = 16;
+    endpoint.on_request([](const Got& g) { g.session->close(); });
+    start();
+    int n = 0;
+    wait_for(
+        [&] {
+          hand_in("n" + std::to_string(n++), kSafe, "x", "12000m");
+          return logged().find("closed s-1") != std::string::npos;
+        },
+        "the endpoint is closed");
+    for (int i = 0; i < 8; i++) hand_in("o" + std::to_string(i), kSafe, "x", "12000m");
+    kill_relay();
+    endpoint.got.clear();
+    endpoint.on_request(stay_silent);
+    start();
+    wait_for([&] { return !endpoint.got.empty(); }, "the first call");
+    // Rounds go by.
+    for (int i = 0; i < 10; i++) hand_in("p" + std::to_string(i), kSafe, "x", "12000m");
+    return endpoint.got.size();
+  }
+};
+TEST_F(OutageTest, AnOutageIsRememberedOverARestart) { EXPECT_EQ(calls_at_once(), 1u); }
+TEST_F(OutageTest, WhereThatIsOffItIsNot) {
+  own_settings = "[store]\nkeep_health = false\n";
+  EXPECT_GT(calls_at_once(), 1u);
+}
+
+TEST_F(FolderTest, SettingsThatMakeNoSenseAreNamed) {
+  own_settings = "[store]\nkeep_wait = true\n";
+  members = member("s-1", endpoint.address());
+  spawn(config());
+  EXPECT_EQ(wait_exit(), 1);
+  EXPECT_NE(logged().find("own.toml:2: store.keep_wait: is no setting"), std::string::npos) << logged();
+}
+
+TEST_F(FolderTest, DurabilityForTheMachineDeliversAndTakesUpAgain) {
+  own_settings = "[store]\ndurability = \"machine\"\n";
+  start();
+  for (int i = 0; i < 20; i++) EXPECT_EQ(hand_in("m" + std::to_string(i), kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 20; }, "the calls");
+  endpoint.on_request(stay_silent);
+  EXPECT_EQ(hand_in("late", kSafe, "x", "12000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 21; }, "the last call");
+  kill_relay();
+  endpoint.on_request(answer_ok);
+  start();
+  wait_for([&] { return endpoint.got.size() == 22; }, "it is made again");
+  EXPECT_EQ(endpoint.got[21].request["X-Request-Id"], "late");
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_EQ(finals, "");
+}
+
+// ---- A disk that is full, or smaller than it was. ----
+// What was decided while nothing could be written is decided anew. A call used to go out 1.6 s after a drain.
+TEST_F(FolderTest, NothingGoesOutThatWasDecidedBeforeADrain) {
+  members = member("s-1", endpoint.address()) + "," +
+            R"({"name":"s-9","address":"127.0.0.1:9","zone":"a","type":"small","group":8,"status":"ready"})";
+  endpoint.on_request([](const Got& g) { g.session->answer(429, "X-Come-Back-Ms: 700\r\n"); });
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "4000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the first call");
+  limit_files(1);
+  wait_for([&] { return health() == 503; }, "the store can't be written");
+  wait_for([&] { return hand_in("refused", kUnsafe) == 503u; }, "nothing is taken on");
+  endpoint.on_request(answer_ok);
+  // Past the wait, when the second call is due.
+  const auto due = std::chrono::steady_clock::now() + std::chrono::milliseconds(900);
+  wait_for([&] { return std::chrono::steady_clock::now() > due; }, "the second call is due");
+  tell(list(member("s-1", endpoint.address(), "draining"), false));
+  wait_for([&] { return endpoint.sessions[0]->ended; }, "the drain is told");
+  limit_files(RLIM_INFINITY);
+  wait_for([&] { return health() == 200; }, "it can be written again");
+  wait_for([&] { return !finals.empty(); }, "the message ends");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(endpoint.got.size(), 1u);
+}
+
+// Its time runs out meanwhile: one notice, and no call beside it.
+TEST_F(FolderTest, NothingGoesOutAfterItsDeadline) {
+  endpoint.on_request([](const Got& g) { g.session->answer(429, "X-Come-Back-Ms: 300\r\n"); });
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "900m"), 202u);
+  const auto due = std::chrono::steady_clock::now() + std::chrono::milliseconds(1000);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the first call");
+  limit_files(1);
+  wait_for([&] { return health() == 503 && std::chrono::steady_clock::now() > due; }, "its time is up");
+  endpoint.on_request(answer_ok);
+  const auto before = endpoint.got.size();
+  limit_files(RLIM_INFINITY);
+  wait_for([&] { return !finals.empty() && health() == 200; }, "the message ends");
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() > before; }, "the next message's call");
+  EXPECT_EQ(endpoint.got.back().request["X-Request-Id"], "m2");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+}
+
+// A limit lowered under what is held used to lock the journal up for good, with health at 200.
+TEST_F(FolderTest, ALimitLoweredUnderWhatIsHeldIsLivedThrough) {
+  endpoint.on_request(stay_silent);
+  start();
+  const std::string body(30'000, 'x');
+  int n = 0;
+  while (n < 38 && hand_in("m" + std::to_string(n), kSafe, body, "12000m") == 202u) n++;
+  ASSERT_GT(n, 25);
+  kill_relay();
+  disk_mb = "0.5";
+  spawn(config());
+  wait_for([&] { return health() == 503; }, "it runs");
+  EXPECT_NE(logged().find("more than the limit"), std::string::npos) << logged();
+  EXPECT_EQ(hand_in("refused", kSafe), 503u);
+  endpoint.on_request(answer_ok);
+  for (const auto& g : endpoint.got) g.session->close();
+  wait_for([&] { return health() == 200; }, "it goes on by itself");
+  EXPECT_EQ(hand_in("after", kSafe), 202u);
+  std::set<std::string> called;
+  wait_for(
+      [&] {
+        for (const auto& g : endpoint.got) called.insert(std::string(g.request["X-Request-Id"]));
+        return called.count("after") > 0;
+      },
+      "the next message's call");
+  for (int i = 0; i < n; i++)
+    EXPECT_TRUE(called.count("m" + std::to_string(i)) > 0 ||
+                finals.find("\"m" + std::to_string(i) + "\"") != std::string::npos)
+        << i;
+}
+
 }  // namespace
 }  // namespace heronvane::testing
--- /dev/null
+++ b/tests/kept_test.cpp
@@ -0,0 +1,165 @@
+// What the relay keeps of endpoints over a restart, without sockets.
+#include <gtest/gtest.h>
+
+#include "core/list_memory.hpp"
+#include "core/target_memory.hpp"
+#include "operator_settings.hpp"
+
+namespace heronvane {
+namespace {
+
+using cedarplank::Health;
+using cedarplank::Listing;
+
+constexpr Time kNow = 1'700'000'000'000'000, kHour = 3'600'000'000;
+
+struct Facts {
+  std::map<std::string, std::string> all;
+  std::size_t most = SIZE_MAX;
+  ListMemory::Keep keep() {
+    return [this](const std::string& key, const std::string& value) {
+      if (value.empty()) return all.erase(key), true;
+      if (all.count(key) == 0 && all.size() >= most) return false;
+      all[key] = value;
+      return true;
+    };
+  }
+};
+
+MemberList list(std::int64_t index, bool whole, std::vector<std::pair<std::string, Listing>> entries) {
+  MemberList l;
+  l.index = index, l.snapshot = whole;
+  for (const auto& [id, listing] : entries) {
+    Member m;
+    m.endpoint.id = id, m.endpoint.listing = listing;
+    l.members.push_back(m);
+  }
+  return l;
+}
+std::map<std::string, Listing> said(const MemberList& l) {
+  std::map<std::string, Listing> all;
+  for (const auto& m : l.members) all[m.endpoint.id] = m.endpoint.listing;
+  return all;
+}
+using Said = std::map<std::string, Listing>;
+const Listing kReady = Listing::active, kDraining = Listing::draining, kGone = Listing::gone;
+const std::string kHere = "127.0.0.1:8500", kThere = "127.0.0.1:8600";
+
+TEST(ListMemory, HoldsAgainstKnownAndOlderLists) {
+  Facts facts;
+  const auto known = list(90, true, {{"a", kReady}, {"b", kReady}, {"c", kReady}});
+  {
+    ListMemory m(facts.all, known, kNow, facts.keep());
+    m.told(list(41, false, {{"a", kDraining}, {"b", kGone}}), kHere, kNow);
+  }
+  ListMemory m(facts.all, known, kNow + 60'000'000, facts.keep());
+  // Never until `known` says otherwise, whatever its index.
+  EXPECT_EQ(said(m.known(known)), (Said{{"a", kDraining}, {"c", kReady}}));
+  // An older list of the same discovery neither.
+  EXPECT_EQ(said(m.told(list(40, true, {{"a", kReady}, {"b", kReady}, {"c", kReady}}), kHere, kNow)),
+            (Said{{"a", kDraining}, {"c", kReady}}));
+  EXPECT_EQ(said(m.told(list(40, false, {{"b", kReady}}), kHere, kNow)), (Said{{"b", kGone}}));
+  // One that is not older does.
+  EXPECT_EQ(said(m.told(list(41, false, {{"a", kReady}}), kHere, kNow)), (Said{{"a", kReady}}));
+  EXPECT_EQ(facts.all.count("endpoint/a"), 0u);
+  EXPECT_EQ(facts.all.count("endpoint/b"), 1u);
+  // Another discovery counts anew: its list is news.
+  EXPECT_EQ(said(m.told(list(1, true, {{"b", kReady}}), kThere, kNow)), (Said{{"b", kReady}}));
+  EXPECT_TRUE(facts.all.empty());
+}
+
+TEST(ListMemory, WhatAWholeListLeavesOutIsGone) {
+  Facts facts;
+  const auto known = list(1, true, {{"a", kReady}});
+  ListMemory(facts.all, known, kNow, facts.keep()).gone("a", 5, kHere, kNow);
+  EXPECT_EQ(said(ListMemory(facts.all, known, kNow, facts.keep()).known(known)), Said{});
+}
+
+// Nothing piles up: what no restart can bring back is dropped, and where there is no room the oldest is.
+TEST(ListMemory, ForgetsWhatIsOldAndNotKnown) {
+  Facts facts;
+  {
+    ListMemory m(facts.all, {}, kNow, facts.keep());
+    m.gone("a", 5, kHere, kNow), m.gone("b", 6, kHere, kNow);
+  }
+  ListMemory m(facts.all, list(1, true, {{"a", kReady}}), kNow + 2 * kHour, facts.keep());
+  EXPECT_EQ(m.size(), 1u);
+  EXPECT_EQ(facts.all.count("endpoint/a"), 1u);
+  EXPECT_EQ(facts.all.count("endpoint/b"), 0u);
+}
+TEST(ListMemory, TheOldestMakesRoom) {
+  Facts facts;
+  facts.most = 3;
+  const auto known = list(1, true, {{"e0", kReady}});
+  ListMemory m(facts.all, known, kNow, facts.keep());
+  for (int i = 0; i < 10; i++) m.gone("e" + std::to_string(i), i, kHere, kNow + i);
+  EXPECT_EQ(facts.all.size(), 3u);
+  EXPECT_EQ(facts.all.count("endpoint/e0"), 1u) << "known names it";
+  EXPECT_EQ(facts.all.count("endpoint/e9"), 1u);
+}
+TEST(ListMemory, UnreadableFactsAreDropped) {
+  Facts facts;
+  facts.all = {{"endpoint/a", "what"}, {"endpoint/b", ""}, {"other", "x"}};
+  ListMemory m(facts.all, {}, kNow, facts.keep());
+  EXPECT_EQ(m.size(), 0u);
+  EXPECT_EQ(facts.all, (std::map<std::string, std::string>{{"other", "x"}}));
+}
+
+TEST(TargetMemory, IsReadAsItWasWritten) {
+  cedarplank::TargetMemory m;
+  m.endpoint = "s 1", m.destination = -7, m.health = Health::ramp, m.health_age = 5, m.usual_rate = 0.125;
+  m.budget = 0.5, m.fail_run = 3, m.fail_share = 0.25, m.doubt = true, m.bundle = 4, m.wait_left = 1'000'000;
+  m.delay = 0.75, m.pace = 12.5, m.refusals = 2, m.refused_age = 9, m.let_through = 0.5;
+  const auto text = write_target(m, kNow);
+  const auto read = read_target("s 1", text);
+  ASSERT_TRUE(read.has_value());
+  EXPECT_EQ(read->learned, kNow);
+  EXPECT_EQ(write_target(read->memory, read->learned), text);
+  EXPECT_FALSE(read_target("s 1", text.substr(0, text.size() / 2)).has_value());
+  EXPECT_FALSE(read_target("s 1", "2" + text.substr(1)).has_value()) << "of another form";
+}
+
+TEST(TargetMemory, WaitsAreNotShortenedByAReboot) {
+  cedarplank::TargetMemory m;
+  m.endpoint = "a", m.wait_left = 10'000'000;
+  const std::map<std::string, std::string> facts = {{target_key("a"), write_target(m, kNow)}};
+  const Time later = kNow + 8'000'000;
+  const auto wait = [&](Time gap, RecalledTargets::Which which) -> Time {
+    const auto r = RecalledTargets(facts, which).take("a", later, gap);
+    return r ? r->memory.wait_left - r->age : -1;
+  };
+  EXPECT_EQ(wait(0, {true, true}), 2'000'000);
+  EXPECT_EQ(wait(8'000'000, {true, true}), 10'000'000) << "all of that time is only the wall clock's word";
+  EXPECT_EQ(wait(0, {true, false}), -1) << "nothing else is known";
+  EXPECT_EQ(wait(0, {false, true}), 2'000'000);
+}
+
+#ifdef HERONVANE_SETTINGS_FILE
+TEST(OperatorSettings, AreReadAndTheirErrorsNameThePlace) {
+  const auto s = read_operator_settings(
+      "[store]\ndurability = \"machine\"\nkeep_health = false\nkeep_waits = true\nremember_window_s = 1.5\n",
+      "f");
+  EXPECT_EQ(s.store.durability, store::Durability::machine);
+  EXPECT_FALSE(s.store.keep_health);
+  EXPECT_TRUE(s.store.keep_waits);
+  EXPECT_EQ(s.store.remember_window, 1'500'000);
+  const auto error = [](const std::string& text) -> std::string {
+    try {
+      read_operator_settings(text, "f");
+    } catch (const std::runtime_error& e) {
+      return e.what();
+    }
+    return "none";
+  };
+  EXPECT_EQ(error("[store]\n\ndurability = \"disk\"\n"),
+            "f:3: store.durability: must be \"process\" or \"machine\"");
+  EXPECT_EQ(error("[store]\nkeep_waits = 1\n"), "f:2: store.keep_waits: must be true or false");
+  EXPECT_EQ(error("[store]\nremember_window_s = -1\n").substr(0, 30), "f:2: store.remember_window_s: ");
+  EXPECT_EQ(error("[stores]\n").substr(0, 12), "f:1: stores:");
+  EXPECT_EQ(error("[store\n").substr(0, 4), "f:1:");
+  EXPECT_EQ(error(""), "none");
+}
+#endif
+
+}  // namespace
+}  // namespace heronvane
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -160,7 +160,9 @@
   }
 
   // ---- The program. ----
-  virtual std::string limits() { return R"({"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3})"; }
+  virtual std::string limits() {
+    return R"({"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":)" + disk_mb + "}";
+  }
   std::string settings() {
     return R"({"Classes":[{"Name":"load-status","Points":1.0,"Target":1000000,"Deadline":6000000,)"
            R"("Idempotency":"read_like"},{"Name":"pay-and-order","Points":3.0,"Target":2000000,)"
@@ -191,6 +193,7 @@
   }
   void spawn(const std::string& text) {
     std::ofstream(folder + "/config.json") << text;
+    if (!own_settings.empty()) std::ofstream(folder + "/own.toml") << own_settings;
     child = ::fork();
     if (child == 0) {
       // It never outlives its test, nor holds the runner's pipe, however the test ends.
@@ -202,6 +205,7 @@
       }
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
+      if (!own_settings.empty()) ::setenv("HERONVANE_SETTINGS", (folder + "/own.toml").c_str(), 1);
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
       if (error_pipe >= 0) ::dup2(error_pipe, STDERR_FILENO);
       for (int fd = STDIN_FILENO; no_streams && fd <= STDERR_FILENO; fd++) ::close(fd);
@@ -316,6 +320,8 @@
   std::uint16_t port = 0;
   int workers = 8;
   std::string more;  // further members of the configuration
+  std::string disk_mb = "3";
+  std::string own_settings;  // the operator's file; empty: none
   pid_t child = -1;
   int error_pipe = -1;      // its standard error, in the log's place
   bool no_streams = false;  // started without standard streams
