Tests: a limit lowered under what is held is waited through; asking for health leaves no connection

Cause: under load the test ran out of descriptors, since each look at health left a connection, and it looked at the ends of messages before they had come.

--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -1,5 +1,9 @@
 // The folder that lasts, seen from outside over loopback sockets: starts that fail or come twice, what
 // outlives the process, a disk that is full.
+#include <algorithm>
+#include <map>
+#include <set>
+
 #include "relay_harness.hpp"
 
 namespace heronvane::testing {
@@ -330,19 +334,21 @@
   EXPECT_EQ(hand_in("refused", kSafe), 503u);
   endpoint.on_request(answer_ok);
   for (const auto& g : endpoint.got) g.session->close();
-  wait_for([&] { return health() == 200; }, "it goes on by itself");
-  EXPECT_EQ(hand_in("after", kSafe), 202u);
-  std::set<std::string> called;
+  const auto ended = [&](const std::string& id) {
+    return finals.find('"' + id + '"') != std::string::npos ||
+           std::any_of(endpoint.got.begin(), endpoint.got.end(),
+                       [&](const Got& g) { return g.request["X-Request-Id"] == id; });
+  };
   wait_for(
       [&] {
-        for (const auto& g : endpoint.got) called.insert(std::string(g.request["X-Request-Id"]));
-        return called.count("after") > 0;
+        let_clients_go();
+        for (int i = 0; i < n; i++)
+          if (!ended("m" + std::to_string(i))) return false;
+        return health() == 200;
       },
-      "the next message's call");
-  for (int i = 0; i < n; i++)
-    EXPECT_TRUE(called.count("m" + std::to_string(i)) > 0 ||
-                finals.find("\"m" + std::to_string(i) + "\"") != std::string::npos)
-        << i;
+      "all that is held ends, and it goes on by itself");
+  EXPECT_EQ(hand_in("after", kSafe), 202u);
+  wait_for([&] { return ended("after"); }, "the next message's call");
 }
 
 }  // namespace
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -274,7 +274,13 @@
     wait_for([&] { return client->ended || !client->answers.empty(); }, "an answer");
     return client->answers.empty() ? 0 : client->answers[0].result_int();
   }
-  unsigned health() { return ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  unsigned health() {
+    const auto before = clients.size();
+    const unsigned status = ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    // Asked often, it leaves no connection behind.
+    for (; clients.size() > before; clients.pop_back()) clients.back()->close();
+    return status;
+  }
   unsigned hand_in(const std::string& id, const std::string& cls, const std::string& body = "hello",
                    const std::string& deadline = "6000m") {
     return ask(request(id, cls, body, deadline));
