--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -300,6 +300,16 @@
     if (auto target = recalled_.take(id, now, gap)) happened(std::move(*target));
 }
 
+// While nothing can be written only the last value of each key waits: lists may go on changing for long.
+bool Relay::keep(const std::string& key, const std::string& value) {
+  if (!unwritten_) return store_.keep(key, value);
+  if (value.empty() && store_.facts().count(key) == 0)
+    kept_meanwhile_.erase(key);
+  else
+    kept_meanwhile_[key] = value;
+  return true;
+}
+
 // What the module learned goes into the records of this round.
 void Relay::remember_targets() {
   constexpr std::size_t kMostTargets = 64;  // the rest come with the next round
@@ -307,7 +317,7 @@
   if (!own.keep_health && !own.keep_waits) return;
   const Time now = store_.clock().now();
   for (const auto& memory : dispatcher_.learned(last_round_, kMostTargets))
-    store_.keep(target_key(memory.endpoint), memory.blank() ? std::string() : write_target(memory, now));
+    keep(target_key(memory.endpoint), memory.blank() ? std::string() : write_target(memory, now));
 }
 
 void Relay::schedule() {
@@ -436,6 +446,7 @@
   if (!store_.commit()) return not_written();
   outbox_.written(store_.written());
   if (std::exchange(unwritten_, false)) {
+    for (const auto& [key, value] : std::exchange(kept_meanwhile_, {})) store_.keep(key, value);
     if (std::exchange(list_missed_, false)) {
       std::vector<cedarplank::Endpoint> all;
       for (const auto& [id, e] : endpoints_) all.push_back(e);
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -54,6 +54,7 @@
   std::unique_ptr<store::SyncThread> sync_thread();
   void recover();
   void recall();
+  bool keep(const std::string& key, const std::string& value);
   void remember_targets();
   void arrive(Message message, Time left, Reply reply);
   void ended(const cedarplank::event::AttemptEnded& e);
@@ -96,7 +97,9 @@
   std::unique_ptr<Peers> peers_;                    // where the settings allow notes
   std::unique_ptr<store::SyncThread> sync_thread_;  // where records must outlast the machine
   store::Store store_;
-  Outbox outbox_;  // until their records stand
+  Outbox outbox_;           // until their records stand
+  bool unwritten_ = false;  // the store can't be written now: the module is not asked
+  std::map<std::string, std::string> kept_meanwhile_;
   ListMemory list_memory_;
   MemberList known_;  // the configuration's list, as it holds
   RecalledTargets recalled_;
@@ -116,7 +119,6 @@
   std::vector<cedarplank::Event> events_;
   std::multimap<Time, std::uint64_t> timers_;
   Time last_round_ = 0, stop_at_ = 0;
-  bool unwritten_ = false;    // the store can't be written now: the module is not asked
   bool list_missed_ = false;  // the list changed meanwhile
   bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
   boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_, compact_timer_;
