Store: a segment is declared dropped only once what left it dead lasts

Found by a loss of power at each operation of a life with Durability::machine: a fact's value was lost altogether. Nothing live is left in a segment also because of later records (a fact's new value, a message's end with its id to be remembered), not only because its records were written anew; only the latter was waited for. The dropping could outlast the power while the later record did not, and so neither the old value nor the new one was there, or an id was forgotten that its client might hand in again.

The dropping now waits until all that was written when nothing live was left is durable. Process durability is not touched by this: there all that is written is durable.

--- a/relay/store/compaction.cpp
+++ b/relay/store/compaction.cpp
@@ -93,8 +93,10 @@
     put(record::Fact{key, it == facts().end() ? std::string() : it->second});
   }
   if (!more && batch.empty()) {
-    // Nothing may say that it is dropped while what was written anew could still be lost.
-    if (next.moved > synced_) return Step::blocked;
+    // Nothing may say that it is dropped while what took its records' place could still be lost: what was
+    // written anew, and later records that left them dead.
+    if (next.dead_at == 0) next.dead_at = next_ - 1, victim_ = next;
+    if (next.dead_at > synced_) return Step::blocked;
     const Step step = doom(next.number);
     if (step != Step::blocked) victim_.reset();
     return step;
@@ -103,7 +105,6 @@
   const std::size_t bytes = batch.bytes();
   if (!write(batch, notes)) return Step::blocked;
   copied_bytes_ += bytes;
-  next.moved = next_ - 1;
   victim_ = next;
   return Step::more;
 }
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -144,7 +144,7 @@
   struct Victim {
     SegmentNumber number = 0;
     std::size_t at = 0;
-    Sequence moved = 0;  // the last record written anew
+    Sequence dead_at = 0;  // nothing in it is live once this record lasts; 0 while something is
   };
   struct Doomed {  // its records stand elsewhere; its file goes once that is durable
     SegmentNumber number = 0;
