Store: what is over stays so where its records were being written once more

After a failed sync all that was not synced is written again, in its order: of a message that was taken and over in that time first its Taken. A process that was killed between that and its Over left a folder in which the message was held again, while the ledger, which had seen the first Over, took it for over: compaction dropped it, so a life that began to carry it out lost it. A Taken that follows its message's Over is now ignored by the start. Found by killing the process at each operation while syncs fail, compacting, and starting again.

--- a/relay/store/ledger.cpp
+++ b/relay/store/ledger.cpp
@@ -107,6 +107,11 @@
   }
 }
 
+bool Ledger::is_over(MessageId number) const {
+  const auto it = tracks_.find(number);
+  return it != tracks_.end() && it->second.over;
+}
+
 void Ledger::forget_id(MessageId number) {
   const auto it = tracks_.find(number);
   if (it == tracks_.end() || !it->second.over) return;
--- a/relay/store/ledger.hpp
+++ b/relay/store/ledger.hpp
@@ -53,6 +53,7 @@
   void closed(SegmentNumber segment, Sequence end) { segments_.at(segment).end = end; }
   // The record stands in that segment, behind all that was noted before.
   void note(const Note& note, SegmentNumber segment);
+  bool is_over(MessageId number) const;
   // The id of that message, which is over, need not be remembered any more.
   void forget_id(MessageId number);
   // Where it is the oldest segment: that facts in it were dropped need not be known any more.
--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -194,6 +194,8 @@
     bool old;
     void operator()(record::Segment& x) const { s.table_.reserve_numbers(x.next_message); }
     void operator()(record::Taken& x) const {
+      // Written once more after a failed sync, and the process ended before its end was.
+      if (s.ledger_.is_over(x.number)) return;
       if (old) x.held.message.deadline += s.wall_to_lasting_;
       s.whole_state_[x.number] = sequence;
       s.table_.taken(x.number, std::move(x.held));
