--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -96,7 +96,7 @@
   FileId file = -1;
   if (const auto bad = disk_.open(name, Disk::Access::read, file)) fail(bad, name);
   std::string all;
-  constexpr std::size_t kPiece = 1 << 20;
+  constexpr std::size_t kPiece = 64 * 1024;
   while (true) {
     const std::size_t at = all.size();
     all.resize(at + kPiece);
