Store: a failed sync is remembered over a kill; syncs before removals

Found by killing the process after a failed sync and losing the power during the next start. The kernel reports a failed sync once, and what it could not write stays readable until it is evicted: a start after the kill read it, synced it with success, and dropped a segment whose records it had only there. After the loss of power a message that was over and told so came back.

A failed sync now leaves a file sync-failed; a start with Durability::machine that finds it writes all segments once more, as they read, before it syncs them. The start also syncs before it removes what an earlier life dropped: else the file could be gone while its being dropped was not durable, and all that is older was taken to be in doubt.

--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -18,6 +18,8 @@
 // What the file of format 1 is called once it is part of the store.
 const std::string kOldSegment = "segment-0000000000-00000000.hv1";
 const std::string kReserveName = "reserve";
+// Stands while files may hold what a failed sync left in memory alone.
+const std::string kSyncFailed = "sync-failed";
 
 struct SegmentName {
   SegmentNumber number = 0;
@@ -55,8 +57,9 @@
     bool old = false;
   };
   std::map<SegmentNumber, File> files;
-  bool journal = false, journal_next = false, guard = false, reserve = false;  // that are there
-  std::uint64_t other_bytes = 0;                                               // of all else
+  bool journal = false, journal_next = false, guard = false, reserve = false,
+       sync_failed = false;       // that are there
+  std::uint64_t other_bytes = 0;  // of all else
   // Of the segments that belong to the store: where they end, as far as that is told. Those without a file
   // are missing; files that are not named here are left of segments that were dropped.
   std::map<SegmentNumber, std::optional<Sequence>> roster;
@@ -86,6 +89,8 @@
       listing.journal = true;
     else if (e.name == kReserveName && !e.folder)
       listing.reserve = true;
+    else if (e.name == kSyncFailed && !e.folder)
+      listing.sync_failed = true;
     else
       listing.other_bytes += on_disk(e.bytes);
   }
@@ -303,16 +308,27 @@
   }
 }
 
-void Store::sync_all() {
+// A kill may hide a failed sync: the files read well, from memory, and a second sync of them succeeds, though
+// it writes nothing. Then they are written once more, as they read.
+void Store::mark_sync_failed() {
+  FileId file = -1;
+  if (!disk_.open(kSyncFailed, Disk::Access::create, file)) disk_.close(file);
+}
+
+void Store::sync_all(bool write_again) {
   // Written by an earlier life, and perhaps never synced.
   for (const auto& [number, name] : names_) {
     FileId file = -1;
     if (const auto bad = disk_.open(name, Disk::Access::write, file)) fail(bad, name);
-    const auto bad = disk_.sync(file);
+    std::error_code bad;
+    std::size_t done = 0;
+    if (write_again) bad = disk_.write(file, 0, read_whole(name), done);
+    if (!bad && (bad = disk_.sync(file))) mark_sync_failed();
     disk_.close(file);
     if (bad) fail(bad, name);
   }
   if (const auto bad = disk_.sync_folder()) fail(bad, "the folder can't be synced");
+  if (write_again) disk_.remove(kSyncFailed);
 }
 
 void Store::recover() {
@@ -327,6 +343,9 @@
   for (const auto& [number, file] : listing.files) last_number_ = std::max(last_number_, number);
   read_segments(listing);
 
+  // Before what was dropped goes: that it was dropped must last longer than its file.
+  if (options_.durability == Durability::machine) sync_all(listing.sync_failed);
+
   used_ = listing.other_bytes;
   for (const auto& [number, file] : listing.files) {
     if (names_.count(number) > 0) {
@@ -342,8 +361,6 @@
     const auto bad = damage ? disk_.rename(file.name, "damaged-" + file.name) : disk_.remove(file.name);
     if (damage || bad) used_ += on_disk(file.bytes);
   }
-  if (options_.durability == Durability::machine) sync_all();
-
   const auto opened =
       disk_.open(kReserveName, listing.reserve ? Disk::Access::write : Disk::Access::create, reserve_);
   if (opened) reserve_ = -1, reserve_off_ = true;
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -163,7 +163,8 @@
   std::string read_whole(const std::string& name);
   void apply(Record&& record, Sequence sequence, std::size_t bytes, SegmentNumber segment);
   void settle_doubt(Sequence last_missing);
-  void sync_all();
+  void mark_sync_failed();
+  void sync_all(bool write_again);
   void tell_recovery();
 
   // writing.cpp
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -193,6 +193,7 @@
     // What such a file holds is not known any more, also to a later sync that succeeds: all of it is written
     // once more, elsewhere.
     failed("can't be synced: " + bad.message());
+    mark_sync_failed();
     folder_dirty_ = folder_dirty_ || folder;
     if (active_) {
       disk_.close(active_->file);
