Store: one anchor waits at most while the disk fails

A commit that failed was tried again with one more record of the clocks each second, all kept for the next try. After hours of failed writes (measured: 4 hours, a limit of 200 KB) what waited was more than the limit allows, and the store did not recover when the disk did.

--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -143,8 +143,14 @@
   if (pending_.empty() && failure_.empty()) return true;
   // A write that failed is tried again, be it with nothing but the time.
   constexpr Time kAnchorEach = 1'000'000;
-  if (pending_.empty() || now - anchored_ >= kAnchorEach) add(clock_.anchor()), anchored_ = now;
-  return write(pending_, pending_notes_);
+  // One only in what waits: else it would outgrow the limit while the disk fails for long.
+  if (pending_.empty() || (now - anchored_ >= kAnchorEach && !anchor_waits_)) {
+    add(clock_.anchor());
+    anchored_ = now, anchor_waits_ = true;
+  }
+  if (!write(pending_, pending_notes_)) return false;
+  anchor_waits_ = false;
+  return true;
 }
 
 }  // namespace heronvane::store
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -221,6 +221,7 @@
   std::uint64_t written_bytes_ = 0, copied_bytes_ = 0;
   Booked booked_;
   Time anchored_ = 0;
+  bool anchor_waits_ = false;  // among what is pending
 
   FileId reserve_ = -1;
   std::uint64_t reserve_bytes_ = 0;
