Store: failed syncs leave no copies behind that fill the folder

A segment that was begun since the last sync holds nothing but what is to be written again, so it is cut to nothing when a sync fails, the newest first. What may wait for a sync is bounded by a segment's size, as the room to write it again is, and compaction stops at that bound, too. A segment without a record is listed as ending before the first record, so that a later start misses nothing in it.

--- a/relay/store/compaction.cpp
+++ b/relay/store/compaction.cpp
@@ -59,6 +59,7 @@
 Store::Step Store::compact() {
   if (!commit()) return Step::blocked;
   if (!doomed_.empty() && doomed_.front().after <= synced_) return finish_doomed();
+  if (much_unsynced()) return Step::blocked;
   if (!victim_) {
     const auto best = best_victim();
     if (!best) return Step::idle;
--- a/relay/store/ledger.cpp
+++ b/relay/store/ledger.cpp
@@ -32,6 +32,11 @@
   residents_.try_emplace(segment);
 }
 
+void Ledger::emptied(SegmentNumber segment) {
+  auto& s = segments_.at(segment);
+  s.bytes = 0, s.end = 1;  // before the first record of all: none is missing in it
+}
+
 void Ledger::dead(const Place& place) {
   if (place.bytes == 0) return;
   segments_.at(place.segment).live -= place.bytes;
--- a/relay/store/ledger.hpp
+++ b/relay/store/ledger.hpp
@@ -49,6 +49,8 @@
   void grow(SegmentNumber segment, std::uint64_t bytes) { segments_.at(segment).bytes += bytes; }
   void damaged(SegmentNumber segment) { segments_.at(segment).damaged = true; }
   void old(SegmentNumber segment) { segments_.at(segment).old = true; }
+  // Its file was cut to nothing, as all that stood in it is written once more.
+  void emptied(SegmentNumber segment);
   // Nothing is added to it any more.
   void closed(SegmentNumber segment, Sequence end) { segments_.at(segment).end = end; }
   // The record stands in that segment, behind all that was noted before.
--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -283,6 +283,8 @@
     ledger_.grow(number, bytes.size());
     read_segment(listing, number, bytes, replay);
     if (upto) ledger_.closed(number, *upto);
+    // Torn before its first record: none is missing in it, whatever is dropped before it.
+    if (!upto && bytes.size() < kFrameBytes) ledger_.closed(number, 1);
   }
   replay.finish();
   next_ = replay.next();
--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -6,8 +6,6 @@
 namespace heronvane::store {
 namespace {
 
-// Written and not synced yet: past this nothing more is taken on, else a stuck disk would fill the memory.
-constexpr std::uint64_t kMostUnsynced = 8 << 20;
 constexpr std::size_t kMostFact = 4096;  // bytes of a key with its value
 
 }  // namespace
@@ -42,7 +40,7 @@
 }
 
 bool Store::admit(const Message& message) {
-  if (troubled() || unsynced_bytes_ > kMostUnsynced) return false;
+  if (troubled() || much_unsynced()) return false;
   const Booked c = cost(message);
   if (!admits(room(), c) || !ensure_reserve(booked_.later + c.later)) return false;
   booked_.messages += c.messages, booked_.later += c.later, booked_.ids += c.ids;
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -178,6 +178,7 @@
   void release_reserve();
   void sync();
   void synced(Sequence upto, bool folder, const std::vector<FileId>& closing, std::error_code bad);
+  void empty_unsynced();
   bool write_again();
   void failed(const std::string& what);
 
@@ -192,6 +193,9 @@
   bool remove_file(const Doomed& doomed);
 
   bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit(); }
+  // Past this nothing more is taken on or moved: else a stuck disk would fill the memory, and a failed sync
+  // leave no room to write all of it once more.
+  bool much_unsynced() const { return unsynced_bytes_ > segment_bytes(options_.limit_bytes); }
   bool over_limit() const { return used_ > options_.limit_bytes; }
   void lower_ceiling();
   Room room() const;
@@ -234,6 +238,8 @@
 
   Sequence synced_ = 0;
   bool syncing_ = false, folder_dirty_ = false;
+  std::map<SegmentNumber, Sequence>
+      unsynced_segments_;                   // where each that was begun since the last sync begins
   std::vector<FileId> unsynced_files_;      // that are not written to any more
   std::deque<Written> unsynced_, rewrite_;  // to be written once more, since their sync failed
   std::uint64_t unsynced_bytes_ = 0;
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -111,6 +111,7 @@
     return bad;
   }
   seal();
+  if (options_.durability == Durability::machine) unsynced_segments_[fresh.number] = next_;
   fresh.size = first.bytes();
   used_ += on_disk(fresh.size);
   names_[fresh.number] = name;
@@ -201,10 +202,12 @@
       active_.reset();
     }
     for (const FileId file : std::exchange(unsynced_files_, {})) disk_.close(file);
+    empty_unsynced();
     rewrite_ = std::exchange(unsynced_, {});
     unsynced_bytes_ = 0;
   } else {
     synced_ = upto;
+    std::erase_if(unsynced_segments_, [upto](const auto& s) { return s.second <= upto; });
     while (!unsynced_.empty() && unsynced_.front().last <= upto) {
       unsynced_bytes_ -= unsynced_.front().batch.bytes();
       unsynced_.pop_front();
@@ -214,6 +217,24 @@
   if (on_sync_) on_sync_();
 }
 
+// Segments that hold nothing but what is to be written once more: each failed sync would else leave one,
+// until the limit is reached and nothing can be written at all.
+void Store::empty_unsynced() {
+  const auto all = std::exchange(unsynced_segments_, {});
+  // The newest first: one that stands tells where those before it end.
+  for (auto it = all.rbegin(); it != all.rend(); ++it) {
+    const auto segment = ledger_.segments().find(it->first);
+    if (segment == ledger_.segments().end()) continue;
+    FileId file = -1;
+    if (disk_.open(name_of(it->first), Disk::Access::write, file)) return;
+    const auto bad = disk_.truncate(file, 0);
+    disk_.close(file);
+    if (bad) return;
+    used_ -= on_disk(segment->second.bytes);
+    ledger_.emptied(it->first);
+  }
+}
+
 bool Store::write_again() {
   while (!rewrite_.empty()) {
     auto& one = rewrite_.front();
