Store: damage in format 1 is skipped by its length where that leads on

Format 1's sums have no salt, so a client's body can hold frames that pass for records. The search for the next record after damage went through the body: one flipped bit in the frame around it, and an X record in the body dropped another client's message. Where the frame's length leads to a whole record or to the end, the search is not made. Damage to the length itself still leads into the body.

--- a/relay/store/scan.cpp
+++ b/relay/store/scan.cpp
@@ -184,11 +184,19 @@
     at_ += record->bytes;
     return std::move(*record);
   }
+  std::uint32_t size = 0;
+  if (bytes_.size() - from >= kOldFrame) std::memcpy(&size, bytes_.data() + from, 4);
+  // A length that leads to a whole record is whole, most likely. These sums have no salt: a body may hold
+  // records of its client's making, which must not count where that can be helped.
+  const std::size_t behind = from + kOldFrame + size;
+  if (size > 0 && size <= kMostPayload && behind <= bytes_.size() &&
+      (behind == bytes_.size() || record_at(behind))) {
+    at_ = behind;
+    return DamagedStretch{from, at_};
+  }
   for (at_ = from + 1; at_ + kOldFrame <= bytes_.size(); at_++)
     if (record_at(at_)) return DamagedStretch{from, at_};
   at_ = bytes_.size();
-  std::uint32_t size = 0;
-  if (bytes_.size() - from >= kOldFrame) std::memcpy(&size, bytes_.data() + from, 4);
   // Nothing whole behind it: a frame that is longer than what is left was cut off.
   const std::size_t left = bytes_.size() - from;
   if (left < kOldFrame || (size <= kMostPayload && left - kOldFrame < size)) return TornEnd{from, at_};
