Store: deadlines of format 1 stay where they are over a step of the wall clock

They were moved by lasting time less wall time at each start until compaction had brought them into the new form: a process killed before that, the wall clock set an hour ahead, and they ended an hour early or late. The file is only taken over by an empty folder, where lasting time begins with the wall clock's: its times stand for both, and nothing is to be added.

--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -119,6 +119,8 @@
 }
 
 // The file of format 1 becomes the first segment as it is; compaction brings its records into the new form.
+// Its times are wall time: lasting time begins with it in a folder that holds nothing else, so they stand for
+// both.
 void Store::adopt_old(Listing& listing) {
   if (listing.journal) {
     const std::string bytes = read_whole(kOldName);
@@ -192,16 +194,13 @@
 
 void Store::apply(Record&& r, Sequence sequence, std::size_t bytes, SegmentNumber segment) {
   ledger_.note(note_of(r, bytes), segment);
-  const bool old = segment == 0;
   struct Visit {
     Store& s;
     Sequence sequence;
-    bool old;
     void operator()(record::Segment& x) const { s.table_.reserve_numbers(x.next_message); }
     void operator()(record::Taken& x) const {
       // Written once more after a failed sync, and the process ended before its end was.
       if (s.ledger_.is_over(x.number)) return;
-      if (old) x.held.message.deadline += s.wall_to_lasting_;
       s.whole_state_[x.number] = sequence;
       s.table_.taken(x.number, std::move(x.held));
     }
@@ -209,10 +208,7 @@
       s.whole_state_[x.number] = sequence;
       s.table_.progress(x);
     }
-    void operator()(record::Sent& x) const {
-      if (old) x.at += s.wall_to_lasting_;
-      s.table_.sent(x);
-    }
+    void operator()(record::Sent& x) const { s.table_.sent(x); }
     void operator()(record::Ended& x) const { s.table_.ended(x); }
     void operator()(record::GivenUp& x) const { s.table_.given_up(x); }
     void operator()(record::Over& x) const {
@@ -223,7 +219,7 @@
     void operator()(record::Dropped&) const {}
     void operator()(Anchor&) const {}
   };
-  std::visit(Visit{*this, sequence, old}, r);
+  std::visit(Visit{*this, sequence}, r);
 }
 
 void Store::read_segment(const Listing& listing, SegmentNumber number, const std::string& bytes,
@@ -341,7 +337,6 @@
                                                                       : listing.files.rbegin()->second.salt;
   pending_ = Batch(salt_);
   if (listing.anchor) clock_.resume(*listing.anchor);
-  wall_to_lasting_ = clock_.now() - options_.clocks().wall;
   for (const auto& [number, file] : listing.files) last_number_ = std::max(last_number_, number);
   read_segments(listing);
 
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -211,9 +211,8 @@
   Table table_;
   Ledger ledger_;
   Recovery recovery_;
-  // While recovering: of the last record that holds all of a message; messages of format 1, in wall time.
+  // While recovering: of the last record that holds all of a message.
   std::unordered_map<MessageId, Sequence> whole_state_;
-  Time wall_to_lasting_ = 0;
 
   Batch pending_;
   std::vector<Note> pending_notes_;
