--- /dev/null
+++ b/tests/store/damage_test.cpp
@@ -0,0 +1,406 @@
+// Files are damaged: flipped bits, lost stretches, cut or missing files. What stands outside the damage is
+// found; what may have been in it puts in doubt what it may concern, and nothing else.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <set>
+
+#include "store/scan.hpp"
+#include "workload.hpp"
+
+namespace heronvane::store::testing {
+namespace {
+
+Salt salt_of(const std::string& file) {
+  return static_cast<Salt>(std::strtoul(file.c_str() + file.rfind('-') + 1, nullptr, 16));
+}
+
+struct Piece {  // a frame in a file
+  store::Kind kind = store::Kind::anchor;
+  std::uint64_t from = 0, to = 0;
+  Sequence sequence = 0;
+  MessageId number = 0;  // of its message; 0: none
+  bool last = false;
+};
+using Files = std::map<std::string, std::vector<Piece>>;
+
+MessageId number_of(const Record& record) {
+  return std::visit(
+      [](const auto& r) -> MessageId {
+        using R = std::decay_t<decltype(r)>;
+        if constexpr (std::is_same_v<R, record::Taken> || std::is_same_v<R, record::Progress> ||
+                      std::is_same_v<R, record::Sent> || std::is_same_v<R, record::Ended> ||
+                      std::is_same_v<R, record::GivenUp> || std::is_same_v<R, record::Over>)
+          return r.number;
+        return 0;
+      },
+      record);
+}
+
+std::vector<std::string> segments(MemoryDisk& disk) {
+  std::vector<Disk::Entry> entries;
+  disk.list(entries);
+  std::vector<std::string> names;
+  for (const auto& e : entries)
+    if (e.name.rfind("segment-", 0) == 0) names.push_back(e.name);
+  return names;
+}
+
+Files pieces(MemoryDisk& disk) {
+  Files files;
+  for (const auto& name : segments(disk)) {
+    const std::string bytes = disk.contents(name);
+    Scan scan(salt_of(name), bytes);
+    auto& list = files[name];
+    while (const auto found = scan.next()) {
+      const auto* const f = std::get_if<Frame>(&*found);
+      if (f == nullptr) continue;
+      const auto record = decode(f->header.kind, f->payload);
+      list.push_back({f->header.kind, f->offset, f->offset + f->bytes(), f->header.sequence,
+                      record ? number_of(*record) : 0, f->header.last});
+    }
+  }
+  return files;
+}
+
+struct Wound {
+  std::string file;
+  std::uint64_t from = 0, to = 0;  // bytes
+  bool cut = false, gone = false;
+};
+
+// Does damage of a random kind; never to the end of the newest file by a cut, which looks like a torn write,
+// nor to that file as a whole, which nobody could miss.
+Wound hurt(MemoryDisk& disk, const std::vector<std::string>& names, Dice& dice) {
+  Wound w;
+  const bool newest = dice.chance(30);
+  w.file = newest ? names.back() : names[dice.below(names.size())];
+  const std::uint64_t size = disk.contents(w.file).size();
+  if (size == 0) return w;
+  const bool sealed = w.file != names.back();
+  switch (dice.below(sealed ? 7 : 5)) {
+    case 0:
+    case 1:
+      w.from = dice.below(size), w.to = w.from + 1;
+      disk.flip(w.file, w.from, static_cast<unsigned>(dice.below(8)));
+      break;
+    case 2:  // the first frame
+      w.from = dice.below(std::min<std::uint64_t>(size, 90)), w.to = w.from + 1;
+      disk.flip(w.file, w.from, static_cast<unsigned>(dice.below(8)));
+      break;
+    case 3:
+      w.from = dice.below(size);
+      w.to = std::min(size, w.from + 1 + dice.below(dice.chance(50) ? 60 : 4096));
+      disk.zero(w.file, w.from, w.to - w.from);
+      break;
+    case 4: {
+      w.from = dice.below(size);
+      w.to = std::min(size, w.from + 1 + dice.below(700));
+      std::string bytes = disk.contents(w.file);
+      for (auto i = w.from; i < w.to; i++)
+        bytes[i] = static_cast<char>(dice.chance(30) ? 'H' : dice.below(256));
+      disk.put(w.file, bytes);
+      break;
+    }
+    case 5:
+      w.from = dice.below(size), w.to = size, w.cut = true;
+      disk.cut(w.file, w.from);
+      break;
+    default:
+      w.to = size, w.gone = true;
+      disk.remove(w.file);
+      disk.settle();
+  }
+  return w;
+}
+
+std::map<MessageId, std::string> told(const Store& s) {
+  std::map<MessageId, std::string> all;
+  for (const auto& [number, h] : s.held()) {
+    std::string& t = all[number];
+    t = h.message.id + " " + std::to_string(h.message.body.size()) + " " + std::to_string(h.attempts.size()) +
+        (h.ending ? " ended" : "") + (h.doubt ? " doubt" : "");
+  }
+  return all;
+}
+
+struct Counts {
+  std::size_t images = 0, held = 0, lost = 0, doubtful = 0, aside = 0;
+};
+
+struct Subject {
+  MemoryDisk disk;
+  Oracle oracle;
+  Setting setting;
+  Clocks clocks;
+  Moment end = 0;
+  Files files;
+  std::vector<std::string> names;
+  std::map<MessageId, std::string> whole;  // as an undamaged open tells
+  std::map<MessageId, bool> risky;         // may have run
+};
+
+void prepare(Subject& s, std::uint64_t seed) {
+  s.setting.limit = 150'000 + 50'000 * (seed % 4);
+  {
+    Life life(s.disk, s.oracle, s.setting, seed);
+    Dice dice(seed);
+    life.big_bodies(seed % 3 == 0);
+    for (std::uint64_t i = 0; i < 60 + seed % 7 * 20; i++) {
+      life.round();
+      if (dice.chance(2)) life.start();
+    }
+    s.clocks = life.clocks();
+  }
+  s.end = s.disk.operations();
+  s.disk.settle();
+  s.files = pieces(s.disk);
+  s.names = segments(s.disk);
+  const auto copy = s.disk.after(0);
+  const Store store(*copy, options(s.setting, s.clocks));
+  s.whole = told(store);
+  for (const auto& [number, h] : store.held()) s.risky[number] = h.may_have_run();
+}
+
+// Records that were hurt, and messages whose last whole state stands unhurt.
+void check(const Subject& s, const std::vector<Wound>& wounds, const Store& store, Counts& c) {
+  std::set<std::pair<std::string, std::uint64_t>> hit;  // file, offset of a frame
+  Sequence last_hit = 0;
+  bool others_hit = false;  // facts, ends, heads: of unknown effect on others
+  std::set<MessageId> touched;
+  for (const auto& w : wounds) {
+    for (const auto& p : s.files.at(w.file)) {
+      if (p.to <= w.from || p.from >= w.to) continue;
+      hit.emplace(w.file, p.from);
+      last_hit = std::max(last_hit, p.sequence);
+      others_hit = others_hit || p.number == 0;
+      touched.insert(p.number);
+    }
+  }
+  std::map<MessageId, Sequence> whole_at;  // of the last unhurt Taken
+  std::map<MessageId, bool> last_sent_hit;
+  for (const auto& [name, list] : s.files) {
+    for (const auto& p : list) {
+      const bool is_hit = hit.count({name, p.from}) > 0;
+      if (p.kind == store::Kind::taken && !is_hit)
+        whole_at[p.number] = std::max(whole_at[p.number], p.sequence);
+    }
+  }
+  for (const auto& [number, was] : s.whole) {
+    const Held* h = store.find(number);
+    const auto at = whole_at.find(number);
+    if (at == whole_at.end()) {
+      c.lost += h == nullptr;
+      continue;
+    }
+    ASSERT_NE(h, nullptr) << "message " << number << " is lost, its record is whole";
+    c.held++, c.doubtful += h->doubt;
+    if (s.risky.at(number)) {
+      ASSERT_TRUE(h->may_have_run()) << "message " << number << " is said not to have run";
+    }
+    const bool after = at->second > last_hit;
+    if (after && touched.count(number) == 0) {
+      ASSERT_FALSE(h->doubt && was.find("doubt") == std::string::npos)
+          << "message " << number << " is in doubt without need";
+    }
+    if (touched.count(number) == 0 && !h->doubt) {
+      ASSERT_EQ(told(store).at(number), was);
+    }
+  }
+  for (const auto& [number, story] : s.oracle.messages) {
+    // What was refused or never told is not made up; what is over comes back in doubt at the most.
+    const Held* h = store.find(number);
+    if (h == nullptr || s.whole.count(number) > 0) continue;
+    ASSERT_TRUE(h->doubt || touched.count(number) > 0) << "message " << number << " came back";
+  }
+  ASSERT_GE(store.next_number(), s.whole.empty() ? 0 : s.whole.rbegin()->first + 1);
+  (void)others_hit;
+}
+
+TEST(Damage, SeededWounds) {
+  Counts c;
+  for (std::uint64_t seed = 1; seed <= scaled(40); seed++) {
+    Subject s;
+    prepare(s, seed);
+    Dice dice(seed + 1000);
+    for (int k = 0; k < 40; k++) {
+      const auto image = s.disk.after(0);
+      std::vector<Wound> wounds;
+      std::vector<std::string> names = s.names;
+      for (auto n = 1 + dice.below(3); n > 0 && names.size() > 1; n--) {
+        wounds.push_back(hurt(*image, names, dice));
+        if (wounds.back().gone || wounds.back().cut) std::erase(names, wounds.back().file);
+      }
+      const std::string where = "seed " + std::to_string(seed) + ", " + std::to_string(k);
+      std::string at;
+      for (const auto& w : wounds)
+        at += w.file + " " + std::to_string(w.from) + " to " + std::to_string(w.to) + (w.cut ? " cut" : "") +
+              (w.gone ? " gone" : "") + "; ";
+      image->settle();
+      std::string log;
+      std::map<MessageId, std::string> first;
+      {
+        const Store store(*image, options(s.setting, s.clocks, &log));
+        ASSERT_NO_FATAL_FAILURE(check(s, wounds, store, c)) << where << ": " << at << "\n" << log;
+        first = told(store);
+        c.images++;
+      }
+      {
+        Store store(*image, options(s.setting, s.clocks, &log));
+        ASSERT_EQ(told(store), first) << where << ": " << at;
+        if (k % 4 == 0) {
+          // It goes on, and sets the damaged files aside.
+          ASSERT_TRUE(store.commit()) << where << ": " << at << log;
+          for (int i = 0; i < 400 && store.wants_compaction(); i++)
+            if (store.compact() != Store::Step::more) break;
+          ASSERT_EQ(log.find("were not found"), std::string::npos) << where << ": " << at << log;
+          for (const auto& w : wounds) {
+            const bool damaged = log.find(w.file + ": ") != std::string::npos;
+            if (!damaged || w.gone) continue;
+            c.aside += image->exists("damaged-" + w.file);
+            ASSERT_TRUE(image->exists("damaged-" + w.file) || image->exists(w.file))
+                << where << ": " << at << log << w.file << " was removed";
+          }
+        }
+      }
+      const Store store(*image, options(s.setting, s.clocks, &log));
+      ASSERT_EQ(told(store), first) << where << ": " << at << log;
+    }
+  }
+  EXPECT_GT(c.aside, 0u);
+  std::printf(
+      "damage: %zu images, %zu messages held, of these %zu in doubt, %zu lost with their records; %zu files "
+      "set aside\n",
+      c.images, c.held, c.doubtful, c.lost, c.aside);
+}
+
+// A cut of the newest file looks like a write that was cut off: no damage, nothing in doubt. Not one that
+// takes its first record or the word that a segment was dropped: then files are missed that are gone for
+// good.
+TEST(Damage, CutOfTheNewestIsTorn) {
+  for (std::uint64_t seed = 1; seed <= scaled(10); seed++) {
+    Subject s;
+    prepare(s, seed);
+    const auto size = s.disk.contents(s.names.back()).size();
+    std::uint64_t least = 0;
+    for (const auto& p : s.files.at(s.names.back()))
+      if (p.kind == store::Kind::segment || p.kind == store::Kind::dropped) least = p.to;
+    Dice dice(seed);
+    for (int k = 0; k < 20; k++) {
+      const auto image = s.disk.after(0);
+      image->cut(s.names.back(), least + dice.below(size - least));
+      const Store store(*image, options(s.setting, s.clocks));
+      ASSERT_EQ(store.recovery().damaged.size(), 0u);
+      for (const auto& [number, h] : store.held()) ASSERT_FALSE(h.doubt);
+    }
+  }
+}
+
+// Of the newest file's last frame every byte is damaged in turn: told as damage, and all before it in doubt.
+TEST(Damage, LastFrame) {
+  MemoryDisk disk;
+  Setting setting;
+  const Clocks clocks;
+  {
+    Store s(disk, options(setting, clocks));
+    Message m;
+    m.id = "one", m.body = "x", m.deadline = 1;
+    s.take(1, m);
+    ASSERT_TRUE(s.commit());
+    s.sent(1, 5, 0);
+    ASSERT_TRUE(s.commit());
+  }
+  disk.settle();
+  const auto name = segments(disk).back();
+  const auto last = pieces(disk).at(name).back();
+  ASSERT_EQ(last.kind, store::Kind::sent);
+  for (auto at = last.from; at < last.to; at++) {
+    const auto image = disk.after(0);
+    image->flip(name, at, static_cast<unsigned>(at % 8));
+    const Store s(*image, options(setting, clocks));
+    ASSERT_EQ(s.recovery().damaged.size(), 1u) << at - last.from;
+    ASSERT_TRUE(s.held().at(1).may_have_run()) << at - last.from;
+    ASSERT_TRUE(s.held().at(1).doubt);
+  }
+}
+
+// A client's body holds frames: records of its own making must not count, wherever the damage is.
+TEST(Damage, FramesInABody) {
+  MemoryDisk disk;
+  Setting setting;
+  const Clocks clocks;
+  {
+    Store s(disk, options(setting, clocks));
+    Message m;
+    m.id = "victim", m.body = "x", m.deadline = 1;
+    s.take(1, m);
+    ASSERT_TRUE(s.commit());
+  }
+  const auto name = segments(disk).back();
+  {
+    Store s(disk, options(setting, clocks));
+    const Salt salt = salt_of(name);
+    for (const Salt other : {Salt{0}, salt + 1, ~salt}) {
+      Batch forged(other);
+      forged.add(Record(record::Over{1, "", 0}));
+      forged.add(Record(record::Dropped{1}));
+      Message m;
+      m.id = "forger", m.deadline = 1;
+      for (Sequence q = 1; q < 9; q++) m.body += forged.stamped(q);
+      s.take(s.next_number(), m);
+    }
+    ASSERT_TRUE(s.commit());
+  }
+  disk.settle();
+  const auto file = segments(disk).back();
+  ASSERT_NE(file, name);
+  const auto size = disk.contents(file).size();
+  for (std::uint64_t at = 0; at < size; at++) {
+    const auto image = disk.after(0);
+    image->flip(file, at, static_cast<unsigned>(at % 8));
+    const Store s(*image, options(setting, clocks));
+    ASSERT_NE(s.find(1), nullptr) << at;
+    ASSERT_GE(s.recovery().damaged.size(), 1u) << at;
+    ASSERT_LE(s.held().size(), 4u);
+  }
+}
+
+// Anything at all under a segment's name: the start ends, well or with a word.
+TEST(Damage, Noise) {
+  std::size_t opened = 0, refused = 0;
+  Subject s;
+  prepare(s, 3);
+  for (std::uint64_t seed = 1; seed <= scaled(600); seed++) {
+    Dice dice(seed);
+    const auto image = s.disk.after(0);
+    for (int k = 0; k < 3; k++) {
+      const auto& name = s.names[dice.below(s.names.size())];
+      std::string bytes = image->contents(name);
+      for (int i = 0; i < 30 && !bytes.empty(); i++) {
+        const auto at = dice.below(bytes.size()), from = dice.below(bytes.size());
+        const auto size = std::min<std::uint64_t>(dice.below(300), bytes.size() - std::max(at, from));
+        if (dice.chance(50))
+          bytes.replace(at, size, bytes.substr(from, size));  // frames repeated, or out of their order
+        else
+          bytes.insert(at, bytes.substr(from, size));
+      }
+      image->put(name, bytes);
+    }
+    try {
+      Store store(*image, options(s.setting, s.clocks));
+      opened++;
+      const auto first = told(store);
+      store.commit();
+      for (int i = 0; i < 200 && store.wants_compaction(); i++)
+        if (store.compact() != Store::Step::more) break;
+    } catch (const StoreError&) {
+      refused++;
+    }
+  }
+  std::printf("noise: %zu opened, %zu refused\n", opened, refused);
+}
+
+}  // namespace
+}  // namespace heronvane::store::testing
--- /dev/null
+++ b/tests/store/format1_test.cpp
@@ -0,0 +1,381 @@
+// The file of the earlier version is taken over, killed at each operation of that, damaged, and refused where
+// it is none; and the clocks that all times hang on.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <cstdio>
+
+#include "store/lasting_clock.hpp"
+#include "store/scan.hpp"
+#include "workload.hpp"
+
+namespace heronvane::store::testing {
+namespace {
+
+// Writes what the earlier version wrote.
+class OldFile {
+ public:
+  template <class T>
+  OldFile& n(T v) {
+    payload_.append(reinterpret_cast<const char*>(&v), sizeof v);
+    return *this;
+  }
+  OldFile& s(const std::string& v) {
+    n(static_cast<std::uint32_t>(v.size()));
+    payload_ += v;
+    return *this;
+  }
+  void frame() {
+    boost::crc_32_type crc;
+    crc.process_bytes(payload_.data(), payload_.size());
+    const auto size = static_cast<std::uint32_t>(payload_.size());
+    const std::uint32_t sum = crc.checksum();
+    ends.push_back(bytes.size());
+    bytes.append(reinterpret_cast<const char*>(&size), 4).append(reinterpret_cast<const char*>(&sum), 4);
+    bytes += payload_;
+    payload_.clear();
+  }
+  void take(MessageId number, const Message& m) {
+    n('T').n(number).s(m.id).s(m.message_class).s(m.tenant).n(m.destination).n(m.deadline);
+    n(static_cast<char>(m.repeat)).s(m.body).frame();
+  }
+  void sent(MessageId number, Time at, int zone) { n('S').n(number).n(at).n(std::int32_t{zone}).frame(); }
+  void outcome(MessageId number, int attempt, Outcome o) {
+    n('O').n(number).n(std::int32_t{attempt}).n(static_cast<char>(o)).frame();
+  }
+  void ending(MessageId number, bool deferred, Time again) {
+    n('E').n(number).n(static_cast<char>(deferred)).n(again).frame();
+  }
+  void over(MessageId number) { n('X').n(number).frame(); }
+
+  std::string bytes = "heronvane journal 1\n";
+  std::vector<std::size_t> ends;  // where each frame begins
+
+ private:
+  std::string payload_;
+};
+
+constexpr Time kDeadline = 1'700'000'030'000'000;
+
+Message message(MessageId number) {
+  Message m;
+  m.id = "old" + std::to_string(number), m.message_class = "c", m.tenant = "t", m.destination = 3;
+  m.deadline = kDeadline + static_cast<Time>(number), m.repeat = number % 2 == 0;
+  m.body = std::string(number * 13 % 300, 'b');
+  return m;
+}
+
+// 1..30: taken; every third over; 2 sent, with no outcome; 4 sent and full; 5 sent twice; 7 ended.
+OldFile old_file() {
+  OldFile f;
+  for (MessageId n = 1; n <= 30; n++) {
+    f.take(n, message(n));
+    if (n == 5) f.sent(2, 100, 1), f.sent(4, 101, 0), f.outcome(4, 0, Outcome::full);
+    if (n > 6 && n % 3 == 0) f.over(n - 3);
+  }
+  f.sent(5, 102, 0), f.outcome(5, 0, Outcome::connect_failed), f.sent(5, 103, 1);
+  f.ending(7, true, 77);
+  return f;
+}
+
+std::string wrong_in(const Store& s, bool sound = true) {
+  for (MessageId n = 1; n <= 30; n++) {
+    const bool over = n >= 6 && n <= 27 && n % 3 == 0;
+    const Held* h = s.find(n);
+    const auto at = " of " + std::to_string(n);
+    if (over != (h == nullptr)) return over ? "came back" + at : "loss" + at;
+    if (h == nullptr) continue;
+    const Message m = message(n);
+    if (h->message.id != m.id || h->message.body != m.body || h->message.repeat != m.repeat ||
+        h->message.deadline != m.deadline || h->message.destination != 3)
+      return "change" + at;
+    const std::size_t attempts = n == 2 || n == 4 ? 1 : n == 5 ? 2 : 0;
+    if (h->attempts.size() != attempts) return "attempts" + at;
+    if (h->may_have_run() != (n == 2 || n == 5)) return "may have run" + at;
+    if (h->ending.has_value() != (n == 7)) return "ending" + at;
+    if (n == 5 && (h->attempts[1].sent != 103 || h->attempts[1].zone != 1)) return "attempt" + at;
+    if (n == 7 && (!h->ending->deferred || h->ending->again != 77)) return "ending" + at;
+  }
+  if (sound && s.recovery().counts.missing > 0) return "damage";
+  return s.next_number() == 31 ? "" : "next number";
+}
+
+void compact_all(Store& s) {
+  for (int i = 0; i < 500 && s.wants_compaction(); i++)
+    if (s.compact() != Store::Step::more) break;
+}
+
+bool old_gone(MemoryDisk& disk) {
+  std::vector<Disk::Entry> entries;
+  disk.list(entries);
+  for (const auto& e : entries)
+    if (e.name == "journal" || e.name.find(".hv1") != std::string::npos) return false;
+  return true;
+}
+
+TEST(Format1, AdoptedAndMigratedThroughAnyCrash) {
+  std::size_t points = 0;
+  for (const auto durability : {Durability::process, Durability::machine}) {
+    Setting setting;
+    setting.durability = durability;
+    const Clocks clocks;
+    const Options o = options(setting, clocks);
+    MemoryDisk disk;
+    disk.put("journal", old_file().bytes);
+    disk.put("journal.next", old_file().bytes.substr(0, 300));
+    disk.settle();
+    LateSyncer syncer(disk);
+    {
+      Store s(disk, o, &syncer);
+      ASSERT_EQ(wrong_in(s), "");
+      // The earlier version can't begin anew here.
+      std::vector<Disk::Entry> entries;
+      disk.list(entries);
+      ASSERT_TRUE(std::any_of(entries.begin(), entries.end(),
+                              [](const auto& e) { return e.name == "journal.next" && e.folder; }));
+      for (int i = 0; i < 100 && s.wants_compaction(); i++) compact_all(s), syncer.run_all();
+      ASSERT_EQ(wrong_in(s), "");
+      syncer.forget();
+    }
+    ASSERT_TRUE(old_gone(disk));
+    for (std::size_t n = 0; n <= disk.operations(); n++) {
+      const bool write = n < disk.operations() && disk.operation(n + 1).kind == Kind::write;
+      const std::size_t size = write ? disk.operation(n + 1).bytes.size() : 0;
+      for (std::size_t partial = 0; partial <= size; partial += 1 + size / 20) {
+        const auto image = disk.after(n, partial);
+        LateSyncer late(*image);
+        Store s(*image, o, &late);
+        ASSERT_EQ(wrong_in(s), "") << n << " and " << partial;
+        ASSERT_TRUE(s.commit());
+        for (int i = 0; i < 100 && s.wants_compaction(); i++) compact_all(s), late.run_all();
+        ASSERT_EQ(wrong_in(s), "") << n << " and " << partial;
+        ASSERT_TRUE(old_gone(*image)) << n << " and " << partial;
+        late.forget();
+        points++;
+      }
+      if (durability == Durability::process) continue;
+      for (std::uint64_t seed = 0; seed < 8; seed++) {
+        const auto choice = seed == 0   ? LossChoice::none()
+                            : seed == 1 ? LossChoice::all()
+                                        : LossChoice::sample(seed);
+        const auto image = disk.power_loss(n, choice);
+        LateSyncer late(*image);
+        const Store s(*image, o, &late);
+        for (MessageId k = 1; k <= 30; k++) {
+          if (k < 6 || k > 27 || k % 3 != 0) {
+            ASSERT_NE(s.find(k), nullptr) << n << ", " << seed << ": " << k;
+          }
+        }
+        ASSERT_TRUE(s.held().at(2).may_have_run() && s.held().at(5).may_have_run());
+        points++;
+      }
+    }
+  }
+  std::printf("format 1: %zu crash points\n", points);
+}
+
+TEST(Format1, TornEnd) {
+  const Clocks clocks;
+  const OldFile f = old_file();
+  for (std::size_t size = 0; size <= f.bytes.size(); size++) {
+    MemoryDisk disk;
+    disk.put("journal", f.bytes.substr(0, size));
+    Store s(disk, options({}, clocks));
+    ASSERT_EQ(s.recovery().damaged.size(), 0u) << size;
+    ASSERT_TRUE(s.commit());
+    if (size == f.bytes.size()) {
+      ASSERT_EQ(wrong_in(s), "");
+    }
+  }
+}
+
+TEST(Format1, Damaged) {
+  const Clocks clocks;
+  const OldFile f = old_file();
+  Dice dice(1);
+  std::size_t images = 0, held = 0, doubt = 0;
+  for (std::uint64_t k = 0; k < scaled(1500); k++) {
+    const auto from = dice.below(f.bytes.size());
+    const auto to =
+        std::min<std::uint64_t>(f.bytes.size(), from + 1 + (dice.chance(50) ? 0 : dice.below(300)));
+    std::string bytes = f.bytes;
+    for (auto i = from; i < to; i++) bytes[i] = static_cast<char>(dice.chance(50) ? 0 : ~bytes[i]);
+    if (bytes == f.bytes) continue;
+    MemoryDisk disk;
+    disk.put("journal", bytes);
+    std::string log;
+    std::unique_ptr<Store> opened;
+    try {
+      opened = std::make_unique<Store>(disk, options({}, clocks, &log));
+    } catch (const StoreError&) {
+      // Neither the first line nor the first record tells what it was.
+      ASSERT_TRUE(from < 20 && to > 20) << from << " to " << to;
+      ASSERT_EQ(disk.operations(), 0u);
+      continue;
+    }
+    Store& s = *opened;
+    images++;
+    std::vector<std::size_t> hit;
+    for (std::size_t i = 0; i < f.ends.size(); i++) {
+      const std::size_t end = i + 1 < f.ends.size() ? f.ends[i + 1] : f.bytes.size();
+      if (f.ends[i] < to && end > from) hit.push_back(i);
+    }
+    for (MessageId n = 1; n <= 30; n++) {
+      const Held* h = s.find(n);
+      // Its Taken, by its place in the file.
+      OldFile one;
+      one.take(n, message(n));
+      const auto at = f.bytes.find(one.bytes.substr(20));
+      const bool taken_hit = at < to && at + one.bytes.size() - 20 > from;
+      const bool over = n >= 6 && n <= 27 && n % 3 == 0;
+      if (taken_hit || over) continue;
+      ASSERT_NE(h, nullptr) << from << " to " << to << ": " << n << "\n" << log;
+      held++, doubt += h->doubt;
+      if (n == 2 || n == 5) {
+        ASSERT_TRUE(h->may_have_run()) << from << " to " << to << ": " << n << "\n" << log;
+      }
+      if (at > to && n != 2 && n != 4 && n != 5 && n != 7) {
+        ASSERT_FALSE(h->doubt) << from << " to " << to << ": " << n << "\n" << log;
+      }
+    }
+    // Set aside by compaction, and all that was read stands elsewhere.
+    const auto before = s.held().size();
+    ASSERT_TRUE(s.commit());
+    compact_all(s);
+    const Store again(disk, options({}, clocks));
+    ASSERT_EQ(again.held().size(), before);
+    ASSERT_EQ(again.recovery().damaged.size(), 0u);
+    if (!s.recovery().damaged.empty()) {
+      ASSERT_TRUE(disk.exists("damaged-segment-0000000000-00000000.hv1")) << log;
+    }
+  }
+  std::printf("format 1: %zu damaged files, %zu messages held, %zu in doubt\n", images, held, doubt);
+}
+
+// Its sums have no salt: a body can hold frames. Where the damage leaves the frame's length they don't count.
+TEST(Format1, FramesInABody) {
+  const Clocks clocks;
+  OldFile forged;
+  for (int i = 0; i < 5; i++) forged.over(1);
+  OldFile f;
+  f.take(1, message(1));
+  Message m = message(2);
+  m.body = forged.bytes.substr(20);
+  const std::size_t begin = f.bytes.size();
+  f.take(2, m);
+  f.take(3, message(3));
+  for (std::size_t at = begin + 4; at < f.ends[2]; at++) {
+    MemoryDisk disk;
+    std::string bytes = f.bytes;
+    bytes[at] = static_cast<char>(bytes[at] ^ 4);
+    disk.put("journal", bytes);
+    const Store s(disk, options({}, clocks));
+    ASSERT_NE(s.find(1), nullptr) << at - begin;
+    ASSERT_NE(s.find(3), nullptr) << at - begin;
+  }
+}
+
+void expect_refused(MemoryDisk& disk, const std::string& what) {
+  disk.settle();
+  const Clocks clocks;
+  EXPECT_THROW(Store(disk, options({}, clocks)), StoreError) << what;
+  EXPECT_EQ(disk.operations(), 0u) << what << ": changed " << to_string(disk.operation(1));
+}
+
+TEST(Format1, RefusesWhatItDoesNotKnow) {
+  const std::string rest = old_file().bytes.substr(20);
+  for (const std::string line :
+       {"heronvane journal 3\n", "heronvane journal 10\n", "heronvane journal 2\nabcdefgh"}) {
+    MemoryDisk disk;
+    disk.put("journal", line + std::string(100, 'z'));
+    expect_refused(disk, line);
+  }
+  {
+    MemoryDisk disk;
+    disk.put("journal", "something else altogether, from another program\n");
+    expect_refused(disk, "foreign");
+  }
+  {
+    MemoryDisk disk;
+    disk.put("segment-0000000003-1f2e3d4c.hv3", "x");
+    expect_refused(disk, "later version");
+  }
+  {
+    MemoryDisk disk;
+    disk.put("journal", old_file().bytes);
+    disk.put("segment-0000000003-1f2e3d4c.hv3", "x");
+    expect_refused(disk, "both, one of a later version");
+  }
+  {
+    MemoryDisk disk;
+    const Clocks clocks;
+    {
+      Store s(disk, options({}, clocks));
+      s.keep("a", "b");
+      ASSERT_TRUE(s.commit());
+    }
+    disk.put("journal", old_file().bytes);
+    expect_refused(disk, "both");
+  }
+}
+
+// ---- Clocks. ----
+Time deadline_after(const std::string& boot, Time boottime_passed, Time wall_passed, Time& now, Time& gap) {
+  MemoryDisk disk;
+  Clocks clocks;
+  {
+    Store s(disk, options({}, clocks));
+    Message m;
+    m.id = "a", m.deadline = s.clock().now() + 30'000'000;
+    s.take(1, m);
+    EXPECT_TRUE(s.commit());
+    now = s.clock().now();
+  }
+  clocks.boottime = boot == "boot" ? clocks.boottime + boottime_passed : boottime_passed;
+  clocks.wall += wall_passed;
+  const Store s(disk, options({}, clocks, nullptr, boot));
+  now = s.clock().now() - now;
+  gap = s.clock().assumed_gap();
+  return s.held().at(1).message.deadline - s.clock().now();
+}
+
+TEST(Clocks, LastingTimeOverRestarts) {
+  constexpr Time kHour = 3'600'000'000, kSecond = 1'000'000;
+  Time now = 0, gap = 0;
+  for (const Time step : {-kHour, Time{0}, kHour}) {
+    EXPECT_EQ(deadline_after("boot", 2 * kSecond, step, now, gap), 28 * kSecond);
+    EXPECT_EQ(now, 2 * kSecond);
+    EXPECT_EQ(gap, 0);
+  }
+  // Over a reboot by the wall clock, but never back.
+  EXPECT_EQ(deadline_after("other", 3 * kSecond, 5 * kSecond, now, gap), 25 * kSecond);
+  EXPECT_EQ(gap, 5 * kSecond);
+  EXPECT_EQ(deadline_after("other", 3 * kSecond, -kHour, now, gap), 30 * kSecond);
+  EXPECT_EQ(now, 0);
+  EXPECT_EQ(gap, 0);
+  // A system that does not name its boots.
+  EXPECT_EQ(deadline_after("", 3 * kSecond, 5 * kSecond, now, gap), 25 * kSecond);
+}
+
+// The times of the earlier version are wall time: what they mean is settled by the first start.
+TEST(Clocks, OldDeadlinesStayOverAWallStep) {
+  for (const Time step : {Time{-3'600'000'000}, Time{3'600'000'000}}) {
+    MemoryDisk disk;
+    Clocks clocks;
+    disk.put("journal", old_file().bytes);
+    Time left = 0;
+    {
+      Store s(disk, options({}, clocks));
+      left = s.held().at(1).message.deadline - s.clock().now();
+      s.keep("a", "b");
+      ASSERT_TRUE(s.commit());  // and is killed before anything is migrated
+    }
+    clocks.boottime += 1'000'000, clocks.wall += 1'000'000 + step;
+    const Store s(disk, options({}, clocks));
+    EXPECT_EQ(s.held().at(1).message.deadline - s.clock().now(), left - 1'000'000);
+  }
+}
+
+}  // namespace
+}  // namespace heronvane::store::testing
