--- /dev/null
+++ b/fuzz/scan_checks.hpp
@@ -0,0 +1,136 @@
+// What must hold of any bytes that are read as a file of the store; shared by the fuzz target and the test
+// that goes over its corpus.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <cstring>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "store/replay.hpp"
+#include "store/scan.hpp"
+#include "store/table.hpp"
+
+namespace heronvane::store {
+
+constexpr Salt kFuzzSalt = 0x1f2e3d4c;
+
+inline void require(bool holds) {
+  if (!holds) std::abort();
+}
+
+inline std::string payload_of(Kind kind, const Record& record) {
+  Batch batch(kFuzzSalt);
+  batch.add(record);
+  const std::string bytes = batch.stamped(7);
+  Scan scan(kFuzzSalt, bytes);
+  const auto found = scan.next();
+  require(found.has_value() && std::holds_alternative<Frame>(*found));
+  const auto& frame = std::get<Frame>(*found);
+  require(frame.header.kind == kind && frame.header.last && frame.header.sequence == 7);
+  return std::string(frame.payload);
+}
+
+// A record that was let through is as long when it is written again, and the same from then on. (Fields that
+// mean nothing, such as when a message that has no end may come again, need not be kept.)
+inline void check_record(Kind kind, std::string_view payload) {
+  const auto record = decode(kind, payload);
+  if (!record) return;
+  const std::string once = payload_of(kind, *record);
+  require(once.size() == payload.size());
+  const auto again = decode(kind, once);
+  require(again.has_value() && payload_of(kind, *again) == once);
+}
+
+// The stretches follow one another without a gap, and end where the bytes do.
+class Cover {
+ public:
+  void add(std::uint64_t from, std::uint64_t to) {
+    require(from == at_ && to > from);
+    at_ = to;
+  }
+  void end(std::uint64_t size) const { require(at_ == size); }
+  explicit Cover(std::uint64_t begin) : at_(begin) {}
+
+ private:
+  std::uint64_t at_;
+};
+
+inline void check_scan(std::string_view bytes) {
+  Scan scan(kFuzzSalt, bytes);
+  Cover cover(0);
+  Table table;
+  Replay replay([&](Record&& r, Sequence, std::size_t, SegmentNumber) {
+    if (auto* t = std::get_if<record::Taken>(&r)) table.taken(t->number, std::move(t->held));
+    if (auto* p = std::get_if<record::Progress>(&r)) table.progress(*p);
+    if (auto* s = std::get_if<record::Sent>(&r)) table.sent(*s);
+    if (auto* e = std::get_if<record::Ended>(&r)) table.ended(*e);
+    if (auto* o = std::get_if<record::Over>(&r)) table.over(*o);
+  });
+  replay.begin(1);
+  while (const auto found = scan.next()) {
+    if (const auto* f = std::get_if<Frame>(&*found)) {
+      cover.add(f->offset, f->offset + f->bytes());
+      check_record(f->header.kind, f->payload);
+    } else if (const auto* d = std::get_if<DamagedStretch>(&*found)) {
+      cover.add(d->from, d->to);
+    } else if (const auto* t = std::get_if<TornEnd>(&*found)) {
+      cover.add(t->from, t->to);
+    }
+    std::visit([&](const auto& what) { replay.found(what); }, *found);
+  }
+  cover.end(bytes.size());
+  replay.end(std::nullopt);
+  replay.finish();
+}
+
+inline void check_old_scan(std::string_view bytes) {
+  constexpr std::size_t kLine = 20;
+  OldScan scan(bytes);
+  if (scan.head() == OldScan::Head::foreign || scan.head() == OldScan::Head::unknown_version) return;
+  Cover cover(scan.head() == OldScan::Head::damaged ? 0 : std::min(bytes.size(), kLine));
+  while (const auto found = scan.next()) {
+    if (const auto* r = std::get_if<OldRecord>(&*found))
+      cover.add(r->offset, r->offset + r->bytes);
+    else if (const auto* d = std::get_if<DamagedStretch>(&*found))
+      cover.add(d->from, d->to);
+    else if (const auto* t = std::get_if<TornEnd>(&*found))
+      cover.add(t->from, t->to);
+  }
+  cover.end(bytes.size());
+}
+
+// The first byte: 0 a file of format 2; 1 a file of format 1; 2 frames whose sums are put right first, so
+// that what they hold is read; else a payload of that kind.
+inline void check_bytes(std::string_view input) {
+  if (input.empty()) return;
+  const char what = input[0];
+  const std::string_view rest = input.substr(1);
+  if (what == 0) return check_scan(rest);
+  if (what == 1) return check_old_scan(rest);
+  if (what != 2) return check_record(static_cast<Kind>(what), rest);
+  std::string bytes;
+  // Kind, flags, length (2 bytes), sequence number (1), payload.
+  for (std::size_t at = 0; at + 5 <= rest.size();) {
+    const auto size = static_cast<std::uint32_t>(static_cast<unsigned char>(rest[at + 2]) |
+                                                 static_cast<unsigned char>(rest[at + 3]) << 8);
+    const std::string_view payload = rest.substr(at + 5, size);
+    std::string head = {'H', 'V', rest[at + 1], rest[at]};
+    const auto length = static_cast<std::uint32_t>(payload.size());
+    const Sequence sequence = static_cast<unsigned char>(rest[at + 4]);
+    head.append(reinterpret_cast<const char*>(&length), 4);
+    head.append(reinterpret_cast<const char*>(&sequence), 8);
+    const std::uint32_t head_sum = sum_of(kFuzzSalt, head), sum = sum_of(kFuzzSalt, payload);
+    head.append(reinterpret_cast<const char*>(&head_sum), 4);
+    bytes += head;
+    bytes += payload;
+    bytes.append(reinterpret_cast<const char*>(&sum), 4);
+    at += 5 + payload.size();
+  }
+  check_scan(bytes);
+}
+
+}  // namespace heronvane::store
--- /dev/null
+++ b/tests/store/corpus_test.cpp
@@ -0,0 +1,30 @@
+// The corpus of the fuzz target, as a plain test.
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "scan_checks.hpp"
+
+namespace heronvane::store {
+namespace {
+
+TEST(Corpus, HoldsWhatScanFuzzChecks) {
+  std::size_t files = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(HERONVANE_CORPUS)) {
+    std::ifstream in(entry.path(), std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    SCOPED_TRACE(entry.path().filename().string());
+    check_bytes(bytes);
+    // And cut anywhere.
+    for (std::size_t size = 0; size < bytes.size(); size += 1 + bytes.size() / 64)
+      check_bytes(std::string_view(bytes).substr(0, size));
+    files++;
+  }
+  EXPECT_GT(files, 10u);
+}
+
+}  // namespace
+}  // namespace heronvane::store
