Store: room that was set aside in part is given back where the rest can't be

On a full volume ext4 keeps what fallocate() had taken when it fails. The store counted nothing as set aside then, so it never gave that part back: on a volume with 24 of 64 KB left each start took them, and none of 7 messages held could be ended. Where nothing else is set aside, the part is now given back at once.

--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -157,6 +157,8 @@
   }
   const bool was_short = std::exchange(reserve_short_, static_cast<bool>(bad));
   if (bad) {
+    // A part of it may be set aside all the same; nobody would give that back.
+    if (reserve_bytes_ == 0) release_reserve();
     if (!was_short) options_.log("store: no room to set aside for what is held: " + bad.message());
     return false;
   }
