Store: at the end of format 1 damage is told from a torn write by the kind

It is torn only where the kind can be of that size. The same is looked at before a sum is worked out: a search through a body of plausible lengths would have summed up to 1 MB at each of its bytes.

--- a/relay/store/scan.cpp
+++ b/relay/store/scan.cpp
@@ -90,6 +90,25 @@
   bool good_ = true;
 };
 
+// Whether a payload of that kind can be of that size.
+bool old_size(char kind, std::uint32_t size) {
+  constexpr std::uint32_t kNumbered = 1 + sizeof(MessageId);
+  switch (kind) {
+    case 'T':
+      return size >= kNumbered + 4 * 4 + 8 + 8 + 1 && size <= kMostPayload;
+    case 'S':
+      return size == kNumbered + 8 + 4;
+    case 'O':
+      return size == kNumbered + 4 + 1;
+    case 'E':
+      return size == kNumbered + 1 + 8;
+    case 'X':
+      return size == kNumbered;
+    default:
+      return false;
+  }
+}
+
 std::optional<Record> old_record(std::string_view payload) {
   OldFields in(payload);
   const char kind = in.number<char>();
@@ -164,6 +183,8 @@
   std::memcpy(&sum, bytes_.data() + offset + 4, 4);
   // The least payload is a kind and a number.
   if (size < 9 || size > kMostPayload || bytes_.size() - offset - kOldFrame < size) return std::nullopt;
+  // Before the sum: a search through a body of lengths would else take hours.
+  if (!old_size(bytes_[offset + kOldFrame], size)) return std::nullopt;
   const auto payload = bytes_.substr(offset + kOldFrame, size);
   boost::crc_32_type crc;
   crc.process_bytes(payload.data(), payload.size());
@@ -199,7 +220,8 @@
   at_ = bytes_.size();
   // Nothing whole behind it: a frame that is longer than what is left was cut off.
   const std::size_t left = bytes_.size() - from;
-  if (left < kOldFrame || (size <= kMostPayload && left - kOldFrame < size)) return TornEnd{from, at_};
+  if (left <= kOldFrame || (left - kOldFrame < size && old_size(bytes_[from + kOldFrame], size)))
+    return TornEnd{from, at_};
   return DamagedStretch{from, at_};
 }
 
