--- a/relay/store/ledger.cpp
+++ b/relay/store/ledger.cpp
@@ -32,6 +32,11 @@
   residents_.try_emplace(segment);
 }
 
+void Ledger::emptied(SegmentNumber segment) {
+  auto& s = segments_.at(segment);
+  s.bytes = 0, s.end = 1;  // before the first record of all: none is missing in it
+}
+
 void Ledger::dead(const Place& place) {
   if (place.bytes == 0) return;
   segments_.at(place.segment).live -= place.bytes;
@@ -107,6 +112,11 @@
   }
 }
 
+bool Ledger::is_over(MessageId number) const {
+  const auto it = tracks_.find(number);
+  return it != tracks_.end() && it->second.over;
+}
+
 void Ledger::forget_id(MessageId number) {
   const auto it = tracks_.find(number);
   if (it == tracks_.end() || !it->second.over) return;
--- a/relay/store/ledger.hpp
+++ b/relay/store/ledger.hpp
@@ -49,10 +49,13 @@
   void grow(SegmentNumber segment, std::uint64_t bytes) { segments_.at(segment).bytes += bytes; }
   void damaged(SegmentNumber segment) { segments_.at(segment).damaged = true; }
   void old(SegmentNumber segment) { segments_.at(segment).old = true; }
+  // Its file was cut to nothing, as all that stood in it is written once more.
+  void emptied(SegmentNumber segment);
   // Nothing is added to it any more.
   void closed(SegmentNumber segment, Sequence end) { segments_.at(segment).end = end; }
   // The record stands in that segment, behind all that was noted before.
   void note(const Note& note, SegmentNumber segment);
+  bool is_over(MessageId number) const;
   // The id of that message, which is over, need not be remembered any more.
   void forget_id(MessageId number);
   // Where it is the oldest segment: that facts in it were dropped need not be known any more.
--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -19,6 +19,8 @@
 // What the file of format 1 is called once it is part of the store.
 const std::string kOldSegment = "segment-0000000000-00000000.hv1";
 const std::string kReserveName = "reserve";
+// Stands while files may hold what a failed sync left in memory alone.
+const std::string kSyncFailed = "sync-failed";
 
 struct SegmentName {
   SegmentNumber number = 0;
@@ -50,7 +52,7 @@
   FileId file = -1;
   if (const auto bad = disk.open(name, Disk::Access::read, file)) fail(bad, name);
   std::string all;
-  constexpr std::size_t kPiece = 1 << 20;
+  constexpr std::size_t kPiece = 64 * 1024;
   while (true) {
     const std::size_t at = all.size();
     all.resize(at + kPiece);
@@ -87,10 +89,8 @@
   LastingClock& clock_;
   const ReadClocks& clocks_;
   Contents found_;
-  std::map<SegmentNumber, std::string> read_;  // what was read already
-  // Of the last record that holds all of a message; messages of format 1, in wall time.
-  std::unordered_map<MessageId, Sequence> whole_state_;
-  Time wall_to_lasting_ = 0;
+  std::map<SegmentNumber, std::string> read_;            // what was read already
+  std::unordered_map<MessageId, Sequence> whole_state_;  // of the last record that holds all of a message
 };
 
 void Reader::list_folder() {
@@ -115,12 +115,15 @@
       found_.journal = true;
     else if (e.name == kReserveName && !e.folder)
       found_.reserve = true;
+    else if (e.name == kSyncFailed && !e.folder)
+      found_.sync_failed = true;
     else
       found_.others.push_back(e);
   }
 }
 
-// The file of format 1 counts as the first segment as it is.
+// The file of format 1 counts as the first segment as it is. Its times are wall time: lasting time begins
+// with it in a folder that holds nothing else, so they stand for both.
 void Reader::find_old() {
   if (!found_.journal) return;
   std::string bytes = read_whole(disk_, kOldName);
@@ -183,14 +186,13 @@
 
 void Reader::apply(Record&& r, Sequence sequence, std::size_t bytes, SegmentNumber segment) {
   found_.ledger.note(note_of(r, bytes), segment);
-  const bool old = segment == 0;
   struct Visit {
     Reader& r;
     Sequence sequence;
-    bool old;
     void operator()(record::Segment& x) const { r.found_.table.reserve_numbers(x.next_message); }
     void operator()(record::Taken& x) const {
-      if (old) x.held.message.deadline += r.wall_to_lasting_;
+      // Written once more after a failed sync, and the process ended before its end was.
+      if (r.found_.ledger.is_over(x.number)) return;
       r.whole_state_[x.number] = sequence;
       r.found_.table.taken(x.number, std::move(x.held));
     }
@@ -198,10 +200,7 @@
       r.whole_state_[x.number] = sequence;
       r.found_.table.progress(x);
     }
-    void operator()(record::Sent& x) const {
-      if (old) x.at += r.wall_to_lasting_;
-      r.found_.table.sent(x);
-    }
+    void operator()(record::Sent& x) const { r.found_.table.sent(x); }
     void operator()(record::Ended& x) const { r.found_.table.ended(x); }
     void operator()(record::GivenUp& x) const { r.found_.table.given_up(x); }
     void operator()(record::Over& x) const {
@@ -212,7 +211,7 @@
     void operator()(record::Dropped&) const {}
     void operator()(Anchor&) const {}
   };
-  std::visit(Visit{*this, sequence, old}, r);
+  std::visit(Visit{*this, sequence}, r);
 }
 
 void Reader::read_segment(SegmentNumber number, const std::string& bytes, Replay& replay) {
@@ -280,6 +279,8 @@
     found_.ledger.grow(number, bytes.size());
     read_segment(number, bytes, replay);
     if (upto) found_.ledger.closed(number, *upto);
+    // Torn before its first record: none is missing in it, whatever is dropped before it.
+    if (!upto && bytes.size() < kFrameBytes) found_.ledger.closed(number, 1);
   }
   replay.finish();
   found_.missing = replay.missing_runs();
@@ -311,7 +312,6 @@
   read_roster();
   find_old();
   if (found_.anchor) clock_.resume(*found_.anchor);
-  wall_to_lasting_ = clock_.now() - clocks_().wall;
   for (const auto& [number, file] : found_.files) found_.highest = std::max(found_.highest, number);
   read_segments();
   return std::move(found_);
@@ -349,16 +349,27 @@
   names_[0] = kOldSegment;
 }
 
-void Store::sync_all() {
+// A kill may hide a failed sync: the files read well, from memory, and a second sync of them succeeds, though
+// it writes nothing. Then they are written once more, as they read.
+void Store::mark_sync_failed() {
+  FileId file = -1;
+  if (!disk_.open(kSyncFailed, Disk::Access::create, file)) disk_.close(file);
+}
+
+void Store::sync_all(bool write_again) {
   // Written by an earlier life, and perhaps never synced.
   for (const auto& [number, name] : names_) {
     FileId file = -1;
     if (const auto bad = disk_.open(name, Disk::Access::write, file)) fail(bad, name);
-    const auto bad = disk_.sync(file);
+    std::error_code bad;
+    std::size_t done = 0;
+    if (write_again) bad = disk_.write(file, 0, read_whole(disk_, name), done);
+    if (!bad && (bad = disk_.sync(file))) mark_sync_failed();
     disk_.close(file);
     if (bad) fail(bad, name);
   }
   if (const auto bad = disk_.sync_folder()) fail(bad, "the folder can't be synced");
+  if (write_again) disk_.remove(kSyncFailed);
 }
 
 void Store::recover() {
@@ -381,6 +392,9 @@
     recovery_.damaged.push_back(text(d, name == names_.end() ? std::string() : name->second));
   }
 
+  // Before what was dropped goes: that it was dropped must last longer than its file.
+  if (options_.durability == Durability::machine) sync_all(found.sync_failed);
+
   for (const auto& other : found.others) used_ += on_disk(other.bytes);
   for (const auto& [number, file] : found.files) {
     if (names_.count(number) > 0) {
@@ -396,8 +410,6 @@
     const auto bad = damage ? disk_.rename(file.name, "damaged-" + file.name) : disk_.remove(file.name);
     if (damage || bad) used_ += on_disk(file.bytes);
   }
-  if (options_.durability == Durability::machine) sync_all();
-
   const auto opened =
       disk_.open(kReserveName, found.reserve ? Disk::Access::write : Disk::Access::create, reserve_);
   if (opened) reserve_ = -1, reserve_off_ = true;
--- a/relay/store/recovery.hpp
+++ b/relay/store/recovery.hpp
@@ -54,9 +54,9 @@
   // are missing; files that are not named here are left of segments that were dropped.
   std::map<SegmentNumber, std::optional<Sequence>> roster;
   bool journal = false;  // segment 0 is still called `journal`, as earlier versions called it
-  bool journal_next = false, guard = false, reserve = false;  // that are there
-  std::vector<Disk::Entry> others;                            // all else
-  std::optional<Anchor> anchor;                               // the last one
+  bool journal_next = false, guard = false, reserve = false, sync_failed = false;  // that are there
+  std::vector<Disk::Entry> others;                                                 // all else
+  std::optional<Anchor> anchor;                                                    // the last one
 
   Table table;
   Ledger ledger;
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -138,7 +138,7 @@
   struct Victim {
     SegmentNumber number = 0;
     std::size_t at = 0;
-    Sequence moved = 0;  // the last record written anew
+    Sequence dead_at = 0;  // nothing in it is live once this record lasts; 0 while something is
   };
   struct Doomed {  // its records stand elsewhere; its file goes once that is durable
     SegmentNumber number = 0;
@@ -149,7 +149,8 @@
   // recovery.cpp
   void recover();
   void adopt_old(const Contents& found);
-  void sync_all();
+  void mark_sync_failed();
+  void sync_all(bool write_again);
   void tell_recovery();
 
   // writing.cpp
@@ -163,6 +164,7 @@
   void release_reserve();
   void sync();
   void synced(Sequence upto, bool folder, const std::vector<FileId>& closing, std::error_code bad);
+  void empty_unsynced();
   bool write_again();
   void failed(const std::string& what);
 
@@ -177,6 +179,9 @@
   bool remove_file(const Doomed& doomed);
 
   bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit(); }
+  // Past this nothing more is taken on or moved: else a stuck disk would fill the memory, and a failed sync
+  // leave no room to write all of it once more.
+  bool much_unsynced() const { return unsynced_bytes_ > segment_bytes(options_.limit_bytes); }
   bool over_limit() const { return used_ > options_.limit_bytes; }
   void lower_ceiling();
   Room room() const;
@@ -203,6 +208,7 @@
   std::uint64_t written_bytes_ = 0, copied_bytes_ = 0;
   Booked booked_;
   Time anchored_ = 0;
+  bool anchor_waits_ = false;  // among what is pending
 
   FileId reserve_ = -1;
   std::uint64_t reserve_bytes_ = 0;
@@ -215,6 +221,8 @@
 
   Sequence synced_ = 0;
   bool syncing_ = false, folder_dirty_ = false;
+  std::map<SegmentNumber, Sequence>
+      unsynced_segments_;                   // where each that was begun since the last sync begins
   std::vector<FileId> unsynced_files_;      // that are not written to any more
   std::deque<Written> unsynced_, rewrite_;  // to be written once more, since their sync failed
   std::uint64_t unsynced_bytes_ = 0;
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -273,6 +273,42 @@
   EXPECT_EQ(finals, "");
 }
 
+// ---- Damage. ----
+// One damaged record costs that record. Unsafe messages whose later records could have stood there are not
+// called, for they may have run; those behind it are untouched. A flipped bit used to cut off, and erase, all
+// behind it.
+TEST_F(FolderTest, AFlippedBitCostsOneRecord) {
+  hold(10);
+  kill_relay();
+  std::string damaged;
+  for (const auto& [name, bytes] : files()) {
+    const auto at = bytes.find(std::string("m3") + std::string("\x0d\0\0\0pay-and-order", 17));
+    if (at == std::string::npos) continue;
+    damaged = name;
+    std::fstream file(folder + "/state/" + name, std::ios::binary | std::ios::in | std::ios::out);
+    file.seekp(static_cast<std::streamoff>(at + 100));
+    file.put('y');
+  }
+  ASSERT_NE(damaged, "");
+  members = member("s-1", endpoint.address());
+  start();
+  std::map<std::string, int> called;
+  wait_for(
+      [&] {
+        called.clear();
+        for (const auto& g : endpoint.got) called[std::string(g.request["X-Request-Id"])]++;
+        return called.size() == 6 && std::count(finals.begin(), finals.end(), '\n') == 3;
+      },
+      "the others end");
+  for (int i = 0; i < 10; i++) {
+    const std::string id = "m" + std::to_string(i);
+    EXPECT_EQ(called.count(id), i > 3 ? 1u : 0u) << id;
+    EXPECT_EQ(finals.find('"' + id + "\",\"status\":\"undeliverable\"") != std::string::npos, i < 3) << id;
+  }
+  EXPECT_NE(logged().find("damage: " + damaged), std::string::npos) << logged();
+  wait_for([&] { return files().count("damaged-" + damaged) > 0; }, "the file is set aside");
+}
+
 // ---- A disk that is full, or smaller than it was. ----
 // What was decided while nothing could be written is decided anew. A call used to go out 1.6 s after a drain.
 TEST_F(FolderTest, NothingGoesOutThatWasDecidedBeforeADrain) {
