Store: syncs on a thread of their own

Need: with durability for the machine the store asks a Syncer for its syncs, and had none but the tests' own.

Change: SyncThread, one thread that syncs the files and the folder in the order asked for and hands each result to a function that has it told on the caller's thread; it takes no signals; its end ends what was asked for. The Disk's contract says that sync_folder() too may be called from another thread.

--- a/relay/store/disk.hpp
+++ b/relay/store/disk.hpp
@@ -2,8 +2,8 @@
 //
 // Names are plain file names within the folder. Every operation may fail, and tells so by its error code;
 // none throws. What was written outlasts the process at once; it outlasts the machine only after sync()
-// (content and size) and sync_folder() (names). One thread uses a Disk; sync() alone may be called from
-// another meanwhile, on a file that is not closed until it returns.
+// (content and size) and sync_folder() (names). One thread uses a Disk; sync() and
+// sync_folder() alone may be called from another meanwhile, on files that are not closed until it returns.
 #pragma once
 
 #include <cstdint>
--- /dev/null
+++ b/relay/store/sync_thread.cpp
@@ -0,0 +1,72 @@
+#include "store/sync_thread.hpp"
+
+#include <pthread.h>
+
+#include <csignal>
+#include <utility>
+
+namespace heronvane::store {
+namespace {
+
+// A thread inherits the mask it is started under: the process's signals are for the caller's thread, whose
+// loop waits for them.
+class SignalsBlocked {
+ public:
+  SignalsBlocked() {
+    sigset_t all;
+    ::sigfillset(&all);
+    ::pthread_sigmask(SIG_SETMASK, &all, &before_);
+  }
+  ~SignalsBlocked() { ::pthread_sigmask(SIG_SETMASK, &before_, nullptr); }
+  SignalsBlocked(const SignalsBlocked&) = delete;
+  SignalsBlocked& operator=(const SignalsBlocked&) = delete;
+
+ private:
+  sigset_t before_{};
+};
+
+}  // namespace
+
+SyncThread::SyncThread(Disk& disk, Post post) : disk_(disk), post_(std::move(post)) {
+  const SignalsBlocked blocked;
+  thread_ = std::thread([this] { run(); });
+}
+
+SyncThread::~SyncThread() {
+  {
+    const std::lock_guard lock(mutex_);
+    ending_ = true;
+  }
+  wake_.notify_one();
+  thread_.join();
+}
+
+void SyncThread::sync(std::vector<FileId> files, bool folder, std::function<void(std::error_code)> done) {
+  {
+    const std::lock_guard lock(mutex_);
+    jobs_.push_back({std::move(files), folder, std::move(done)});
+  }
+  wake_.notify_one();
+}
+
+void SyncThread::run() {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    wake_.wait(lock, [this] { return ending_ || !jobs_.empty(); });
+    if (jobs_.empty()) return;
+    Job job = std::move(jobs_.front());
+    jobs_.pop_front();
+    lock.unlock();
+    const auto bad = carry_out(job);
+    post_([done = std::move(job.done), bad] { done(bad); });
+    lock.lock();
+  }
+}
+
+std::error_code SyncThread::carry_out(const Job& job) {
+  for (const FileId file : job.files)
+    if (const auto bad = disk_.sync(file)) return bad;
+  return job.folder ? disk_.sync_folder() : std::error_code{};
+}
+
+}  // namespace heronvane::store
