Store: ids that are over are held once, not three times

Cause: each remembered id stood as a string in the table of ids, in that of numbers and in the order of their expiry: two allocations too many for ids over 15 characters, and a look-up by string for each that expires.

Change: the table of numbers points to the entries, the order of expiry names numbers and is added to at its end.

--- a/relay/store/table.cpp
+++ b/relay/store/table.cpp
@@ -77,8 +77,8 @@
     }
     it->second = {o.number, o.remember_until};
   }
-  over_ids_[o.number] = o.id;
-  expiry_.emplace(o.remember_until, o.id);
+  over_ids_[o.number] = &*it;
+  expiry_.emplace_hint(expiry_.end(), o.remember_until, o.number);  // mostly the last one
   return other;
 }
 
@@ -91,7 +91,7 @@
 record::Over Table::over_of(MessageId number) const {
   const auto it = over_ids_.find(number);
   if (it == over_ids_.end()) return {number, {}, 0};
-  return {number, it->second, over_.at(it->second).until};
+  return {number, it->second->first, it->second->second.until};
 }
 
 void Table::fact(const record::Fact& f) {
@@ -117,12 +117,13 @@
 std::vector<record::Over> Table::expire(Time now) {
   std::vector<record::Over> gone;
   while (!expiry_.empty() && expiry_.begin()->first <= now) {
-    const auto it = over_.find(expiry_.begin()->second);
+    const auto it = over_ids_.find(expiry_.begin()->second);
     // Remembered anew for longer: that entry's time comes later.
-    if (it != over_.end() && it->second.until <= now) {
-      gone.push_back({it->second.number, it->first, it->second.until});
-      over_ids_.erase(it->second.number);
-      over_.erase(it);
+    if (it != over_ids_.end() && it->second->second.until <= now) {
+      const auto entry = over_.find(it->second->first);
+      gone.push_back({it->first, entry->first, entry->second.until});
+      over_ids_.erase(it);
+      over_.erase(entry);
     }
     expiry_.erase(expiry_.begin());
   }
--- a/relay/store/table.hpp
+++ b/relay/store/table.hpp
@@ -54,9 +54,10 @@
     MessageId number = 0;
     Time until = 0;
   };
-  std::unordered_map<std::string, Remembered> over_;
-  std::unordered_map<MessageId, std::string> over_ids_;  // by the numbers in it
-  std::multimap<Time, std::string> expiry_;
+  using OverIds = std::unordered_map<std::string, Remembered>;
+  OverIds over_;
+  std::unordered_map<MessageId, OverIds::pointer> over_ids_;  // its entries by their numbers
+  std::multimap<Time, MessageId> expiry_;                     // numbers that are in it no more do no harm
   std::map<std::string, std::string> facts_;
   std::uint64_t fact_bytes_ = 0;
   MessageId next_number_ = 1;
