Test of compaction: a file that can't be removed for a while, and the steps of forgetting

Need: where a segment's file could not be removed at once, and then could, compact() ended the program by std::out_of_range: the segment was still the one to be moved while it was gone.

--- /dev/null
+++ b/tests/store/compaction_test.cpp
@@ -0,0 +1,75 @@
+// Compaction on a folder that does not let its files go at once, and its steps.
+#include <gtest/gtest.h>
+
+#include "memory_disk.hpp"
+#include "store/store.hpp"
+
+namespace heronvane::store::testing {
+namespace {
+
+Options options() {
+  Options o;
+  o.limit_bytes = 400'000;
+  o.boot = "first";
+  o.remembers = [](const Message&) { return false; };
+  return o;
+}
+
+// Messages that begin and end, until segments are to go.
+void fill(Store& store, int rounds) {
+  Message m;
+  m.deadline = 1'000'000'000'000'000'000, m.body.assign(1'000, 'x');
+  for (int i = 0; i < rounds; i++) {
+    m.id = "m" + std::to_string(i);
+    const MessageId number = store.next_number();
+    ASSERT_TRUE(store.admit(m));
+    store.take(number, m);
+    ASSERT_TRUE(store.commit());
+    store.over(number);
+    ASSERT_TRUE(store.commit());
+  }
+}
+
+TEST(Compaction, GoesOnOnceAFileCanBeRemovedAgain) {
+  MemoryDisk disk;
+  Store store(disk, options());
+  fill(store, 200);
+  const auto before = store.segments().size();
+  ASSERT_GT(before, 4u);
+  disk.fail_from(1, {.error = std::errc::io_error, .only = Kind::remove}, 3);
+  int blocked = 0;
+  for (int i = 0; i < 1'000; i++) {
+    const auto step = store.compact();
+    if (step == Store::Step::idle) break;
+    blocked += step == Store::Step::blocked;
+  }
+  EXPECT_EQ(blocked, 3);
+  EXPECT_EQ(store.compact(), Store::Step::idle);
+  EXPECT_LT(store.segments().size(), before);
+  EXPECT_EQ(store.bytes(), disk.bytes());
+  EXPECT_EQ(Store(disk, options()).recovery().counts.missing, 0u);
+}
+
+// A segment's records are taken out of the ledger a part at a time, and each once.
+TEST(Compaction, ThinsASegmentOutInSteps) {
+  Ledger ledger;
+  ledger.add_segment(1), ledger.add_segment(2);
+  for (MessageId n = 1; n <= 10; n++) {
+    ledger.note({store::Kind::taken, n, {}, false, 100}, 1);
+    ledger.note({store::Kind::over, n, {}, false, 50}, 2);
+  }
+  EXPECT_EQ(ledger.segments().at(1).live, 0u);
+  EXPECT_EQ(ledger.live(), 500u);
+  EXPECT_TRUE(ledger.thin_out(1, 4));
+  EXPECT_EQ(ledger.live(), 300u);
+  EXPECT_EQ(ledger.tracked(), 6u);
+  EXPECT_TRUE(ledger.thin_out(1, 4));
+  EXPECT_FALSE(ledger.thin_out(1, 4));
+  EXPECT_EQ(ledger.live(), 0u);
+  ledger.remove_segment(1);
+  EXPECT_EQ(ledger.segments().size(), 1u);
+  EXPECT_EQ(ledger.tracked(), 0u);
+}
+
+}  // namespace
+}  // namespace heronvane::store::testing
