--- a/relay/store/records.cpp
+++ b/relay/store/records.cpp
@@ -1,11 +1,12 @@
 #include "store/records.hpp"
 
 #include <bit>
-#include <boost/crc.hpp>
 #include <cstdio>
 #include <cstring>
 #include <type_traits>
 
+#include "store/crc32.hpp"
+
 namespace heronvane::store {
 namespace {
 
@@ -237,10 +238,10 @@
 }
 
 std::uint32_t sum_of(Salt salt, std::string_view bytes) {
-  boost::crc_32_type crc;
-  crc.process_bytes(&salt, sizeof salt);
-  crc.process_bytes(bytes.data(), bytes.size());
-  return crc.checksum();
+  Crc32 crc;
+  crc.add({reinterpret_cast<const char*>(&salt), sizeof salt});
+  crc.add(bytes);
+  return crc.sum();
 }
 
 std::optional<FrameHeader> read_header(Salt salt, std::string_view bytes) {
