A drain that was told outlasts the process

What discovery said last of endpoints that the configuration knows, where it differs, is now kept in the store as facts with the list's index; at the start they count unless the configuration is newer. The new test fails without it.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <limits>
 
+#include "listings.hpp"
 #include "log.hpp"
 
 namespace heronvane {
@@ -102,12 +103,13 @@
       stall_timer_(io),
       drain_timer_(io),
       compact_timer_(io) {
-  for (const auto& m : config.known.members) {
+  for (const auto& m : config.known.members) destinations_.insert(m.endpoint.destination);
+  const MemberList known = last_told(config.known, store_);
+  for (const auto& m : known.members) {
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
-    destinations_.insert(m.endpoint.destination);
   }
-  events_.push_back(event::ListWhole{endpoints_of(config.known), true});
+  events_.push_back(event::ListWhole{endpoints_of(known), true});
   recover();
   intake_.emplace(
       io, std::move(listener_), config.settings, config.names,
@@ -246,6 +248,7 @@
     destinations_.insert(m.endpoint.destination);
   }
   list_told_ = true;
+  keep_told(config_.known, endpoints_, list.index, store_);
   for (const auto& [id, e] : endpoints_) {
     if (e.listing == Listing::active) continue;
     keep_from(id);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -228,6 +228,43 @@
   EXPECT_EQ(endpoint.got.size(), 1u);
 }
 
+// Killed and started again, with a configuration that knows nothing of the drain and a discovery that tells
+// nothing, it still sends nothing there; nor to one that is gone.
+TEST_F(RelayTest, ADrainOutlastsTheProcess) {
+  Server other(io, answer_ok), third(io, answer_ok);
+  members = member("s-1", endpoint.address()) + "," + member("s-2", other.address()) + "," +
+            member("s-3", third.address());
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  tell(list(member("s-1", endpoint.address(), "draining") + "," + member("s-3", third.address(), "gone"),
+            false));
+  const auto calls = [&] { return endpoint.got.size() + other.got.size() + third.got.size(); };
+  // Until it has read that: so many in a row go elsewhere.
+  for (std::size_t i = 0, row = 0; row < 10; i++) {
+    const auto elsewhere = other.got.size();
+    ASSERT_EQ(hand_in("m" + std::to_string(i), kSafe), 202u);
+    wait_for([&] { return calls() == i + 1; }, "the call");
+    row = other.got.size() > elsewhere ? row + 1 : 0;
+  }
+  const auto before = endpoint.got.size() + third.got.size();
+  kill_relay();
+  platform.on_request(stay_silent);
+  start();
+  const auto until = calls() + 10;
+  for (int i = 0; i < 10; i++) EXPECT_EQ(hand_in("n" + std::to_string(i), kSafe), 202u);
+  wait_for([&] { return calls() == until; }, "the calls");
+  EXPECT_EQ(endpoint.got.size() + third.got.size(), before);
+  // What a newer configuration knows counts.
+  kill_relay();
+  members = member("s-1", endpoint.address());
+  std::string newer = config();
+  newer.replace(newer.find("\"index\":41"), 10, "\"index\":42");
+  spawn(newer);
+  wait_for([this] { return health() == 200; }, "the relay is ready");
+  EXPECT_EQ(hand_in("o1", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() + third.got.size() == before + 1; }, "the call");
+}
+
 // Discovery that talks nonsense, or ends the watch, is asked again; what was known holds until then.
 TEST_F(RelayTest, AWatchThatBreaksIsBegunAgain) {
   start();
