--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "answer.hpp"
+#include "fail_points.hpp"
 
 namespace heronvane {
 
@@ -195,10 +196,12 @@
   }
   request.prepare_payload();
   call->stage = Call::Stage::writing;
+  HERONVANE_POINT("call.first-byte");
   http::async_write(call->connection->socket, request, [this, call](error_code bad, std::size_t) {
     if (call->stage == Call::Stage::done) return;
     // The last byte was not written, so the call has not begun there.
     if (bad) return end_all(call, Outcome::connect_failed);
+    HERONVANE_POINT("call.written");
     call->stage = Call::Stage::waiting;
     read(call);
   });
@@ -274,6 +277,7 @@
 }
 
 void Calls::answered_bundle(const std::shared_ptr<Call>& call) {
+  HERONVANE_POINT("outcome.bundle");
   rapidjson::Document v;
   const std::string& body = call->answer.body();
   // Not by recursion, which thousands of open brackets would take past the stack's end.
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "answer.hpp"
+#include "fail_points.hpp"
 #include "log.hpp"
 
 namespace heronvane {
@@ -246,6 +247,7 @@
   const auto talk = [this, post](error_code bad) {
     if (post->over) return;
     if (bad) return posted(post, bad.message());
+    HERONVANE_POINT("notice.before");
     http::async_write(*post->socket, post->request, [this, post](error_code unsent, std::size_t) {
       if (post->over) return;
       if (unsent) return posted(post, unsent.message());
@@ -271,6 +273,7 @@
     if (state == State::more) return read(post);
     if (state == State::broken) return posted(post, bad ? bad.message() : "an answer that can't be read");
     post->status = post->answer.status();
+    HERONVANE_POINT("notice.answered");
     posted(post, post->status == 204 ? "" : "answered " + std::to_string(post->status));
   });
 }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <limits>
 
+#include "fail_points.hpp"
 #include "listings.hpp"
 #include "log.hpp"
 
@@ -110,7 +111,9 @@
     endpoints_[m.endpoint.id] = m.endpoint;
   }
   events_.push_back(event::ListWhole{endpoints_of(known), true});
+  HERONVANE_POINT("recover.taken-back");
   recover();
+  HERONVANE_POINT("recover.done");
   intake_.emplace(
       io, std::move(listener_), config.settings, config.names,
       IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
@@ -210,6 +213,7 @@
 }
 
 void Relay::ended(const event::AttemptEnded& e) {
+  HERONVANE_POINT("outcome.came");
   if (e.closed)
     over(e.id);
   else if (store_.find(e.id) != nullptr)
@@ -389,7 +393,9 @@
 // Writes the records, then does what waited for them.
 void Relay::settle(Plan plan) {
   outbox_.put(std::move(plan));
+  HERONVANE_POINT("commit.before");
   if (!store_.commit()) return not_written();
+  HERONVANE_POINT("commit.after");
   outbox_.written(store_.written());
   if (std::exchange(unwritten_, false)) {
     if (std::exchange(list_missed_, false)) {
@@ -408,6 +414,7 @@
 void Relay::not_written() {
   unwritten_ = true;
   // Their clients wait only so long: what stands in no record was not taken on.
+  HERONVANE_POINT("not-written");
   turn_away(outbox_.take_answers(), 503);
   outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
   retry_later();
@@ -424,6 +431,7 @@
 
 void Relay::turn_away(std::vector<Plan::Answered> answers, unsigned status) {
   for (auto& a : answers) {
+    HERONVANE_POINT("turn-away.before");
     a.reply({status, status == 503 ? kComeBack : 0});
     if (a.id == 0) continue;
     over(a.id, false);
@@ -433,7 +441,11 @@
 
 void Relay::carry_out() {
   while (auto plan = outbox_.next(store_.durable())) {
-    for (auto& a : plan->answers) a.reply(a.answer);
+    for (auto& a : plan->answers) {
+      HERONVANE_POINT("reply.before");
+      a.reply(a.answer);
+      HERONVANE_POINT("reply.after");
+    }
     for (auto& [endpoint, messages] : plan->calls) begin(endpoint, std::move(messages));
     for (const MessageId id : plan->endings)
       if (const Held* const held = store_.find(id)) platform_.notice(id, held->message.id, *held->ending);
@@ -441,6 +453,7 @@
 }
 
 void Relay::begin(const EndpointId& endpoint, std::vector<Outgoing> messages) {
+  HERONVANE_POINT("call.planned");
   const Time now = store_.clock().now();
   std::erase_if(messages, [&](Outgoing& m) {
     const Held* const held = store_.find(m.id);
--- a/relay/store/compaction.cpp
+++ b/relay/store/compaction.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fail_points.hpp"
 #include "store/store.hpp"
 
 namespace heronvane::store {
@@ -68,6 +69,7 @@
 }
 
 Store::Step Store::move_step() {
+  HERONVANE_POINT("compact.move");
   Victim next = *victim_;
   Moving moving;
   const bool more = ledger_.moving(next.number, next.at, kStepRecords, kStepBytes, moving);
@@ -102,6 +104,7 @@
   if (used_ + batch.bytes() + booked_.later > std::max(ceiling_, options_.limit_bytes)) return Step::blocked;
   const std::size_t bytes = batch.bytes();
   if (!write(batch, notes)) return Step::blocked;
+  HERONVANE_POINT("compact.moved");
   copied_bytes_ += bytes;
   next.moved = next_ - 1;
   victim_ = next;
@@ -123,6 +126,7 @@
   const record::Dropped dropped{number};
   std::vector<Note> notes = {note_of(dropped, batch.add(dropped))};
   if (!write(batch, notes)) return Step::blocked;
+  HERONVANE_POINT("compact.dropped");
   doomed_.push_back({number, next_ - 1, segment.damaged});
   return doomed_.front().after <= synced_ ? finish_doomed() : Step::more;
 }
@@ -130,6 +134,7 @@
 Store::Step Store::finish_doomed() {
   while (!doomed_.empty() && doomed_.front().after <= synced_) {
     if (!remove_file(doomed_.front())) return Step::blocked;
+    HERONVANE_POINT("compact.removed");
     doomed_.erase(doomed_.begin());
   }
   lower_ceiling();
--- a/relay/store/disk.cpp
+++ b/relay/store/disk.cpp
@@ -10,6 +10,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "fail_points.hpp"
+
 namespace heronvane::store {
 namespace {
 
@@ -147,7 +149,7 @@
 }  // namespace
 
 std::unique_ptr<Disk> open_folder(const std::string& path, bool read_only) {
-  return std::make_unique<Folder>(path, read_only);
+  return HERONVANE_FAILING(std::make_unique<Folder>(path, read_only));
 }
 
 }  // namespace heronvane::store
--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "fail_points.hpp"
 #include "store/store.hpp"
 
 namespace heronvane::store {
@@ -367,9 +368,11 @@
 }
 
 void Store::recover() {
+  HERONVANE_POINT("recover.begin");
   Contents found = read_folder(disk_, clock_, options_.clocks);
   for (const auto& [number, file] : found.files)
     if (found.roster.count(number) > 0) names_[number] = file.name;
+  HERONVANE_POINT("recover.read");
   adopt_old(found);
   salt_ = found.files.empty() || found.files.rbegin()->second.old ? std::random_device{}()
                                                                   : found.files.rbegin()->second.salt;
@@ -401,6 +404,7 @@
     const auto bad = damage ? disk_.rename(file.name, "damaged-" + file.name) : disk_.remove(file.name);
     if (damage || bad) used_ += on_disk(file.bytes);
   }
+  HERONVANE_POINT("recover.cleared");
   if (options_.durability == Durability::machine) sync_all();
 
   const auto opened =
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "fail_points.hpp"
 #include "store/store.hpp"
 
 namespace heronvane::store {
@@ -110,6 +111,7 @@
     if (disk_.remove(name)) used_ += on_disk(done);
     return bad;
   }
+  HERONVANE_POINT("segment.new");
   seal();
   fresh.size = first.bytes();
   used_ += on_disk(fresh.size);
