--- a/relay/operator_settings.cpp
+++ b/relay/operator_settings.cpp
@@ -95,9 +95,11 @@
   for (const auto& [key, node] : all) {
     const std::string name(key.str());
     const auto* table = node.as_table();
-    if (name != "store" || table == nullptr)
-      throw std::runtime_error(file + ":" + std::to_string(node.source().begin.line) + ": " + name +
-                               ": is no section; known is: store");
+    if (name != "store" || table == nullptr) {
+      std::string what = file;
+      what.append(":").append(std::to_string(node.source().begin.line)).append(": ").append(name);
+      throw std::runtime_error(what.append(": is no section; known is: store"));
+    }
     Section section(*table, name, file);
     section.word("durability",
                  {{"process", store::Durability::process}, {"machine", store::Durability::machine}},
--- a/relay/store/compaction.cpp
+++ b/relay/store/compaction.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fail_points.hpp"
 #include "store/store.hpp"
 
 namespace heronvane::store {
@@ -70,6 +71,7 @@
 }
 
 Store::Step Store::move_step() {
+  HERONVANE_POINT("compact.move");
   Victim next = *victim_;
   Moving moving;
   const bool more = ledger_.moving(next.number, next.at, kStepRecords, kStepBytes, moving);
@@ -106,6 +108,7 @@
   if (used_ + batch.bytes() + booked_.later > std::max(ceiling_, options_.limit_bytes)) return Step::blocked;
   const std::size_t bytes = batch.bytes();
   if (!write(batch, notes)) return Step::blocked;
+  HERONVANE_POINT("compact.moved");
   copied_bytes_ += bytes;
   victim_ = next;
   return Step::more;
@@ -126,6 +129,7 @@
   const record::Dropped dropped{number};
   std::vector<Note> notes = {note_of(dropped, batch.add(dropped))};
   if (!write(batch, notes)) return Step::blocked;
+  HERONVANE_POINT("compact.dropped");
   doomed_.push_back({number, next_ - 1, segment.damaged});
   return Step::more;
 }
@@ -136,6 +140,7 @@
   Doomed& doomed = doomed_.front();
   if (!doomed.gone) {
     if (!remove_file(doomed)) return Step::blocked;
+    HERONVANE_POINT("compact.removed");
     doomed.gone = true;
     lower_ceiling();
     return Step::more;
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fail_points.hpp"
 #include "store/store.hpp"
 
 namespace heronvane::store {
@@ -102,6 +103,7 @@
     if (disk_.remove(name)) used_ += on_disk(done);
     return bad;
   }
+  HERONVANE_POINT("segment.new");
   seal();
   if (options_.durability == Durability::machine) unsynced_segments_[fresh.number] = next_;
   fresh.size = first.bytes();
--- a/tools/store/text.cpp
+++ b/tools/store/text.cpp
@@ -60,7 +60,7 @@
   const std::uint64_t s = us / 1'000'000;
   char text[64];
   if (s < 60)
-    std::snprintf(text, sizeof text, "%.3g s", static_cast<double>(us / 1'000) / 1e3);
+    std::snprintf(text, sizeof text, "%.3g s", static_cast<double>(us - us % 1'000) / 1e6);
   else if (s < 3600)
     std::snprintf(text, sizeof text, "%llu min %llu s", static_cast<unsigned long long>(s / 60),
                   static_cast<unsigned long long>(s % 60));
