Relay: 503 only for what stands in no record; tests on a disk whose syncs take long

Cause: with durability for the machine, where a write failed while a sync was under way, clients whose records were written and waited for that sync were told 503 too. The next life calls such a message, and the client, told that it was not taken on, hands it in elsewhere: an unsafe one runs twice.

Change: only answers whose records are not written are turned away then; the others wait for their sync. The tests hold up the program's fdatasync() by a library loaded before it.

Result: the client of the written message was told 503, and is told 202 now.

--- a/relay/core/outbox.cpp
+++ b/relay/core/outbox.cpp
@@ -43,9 +43,10 @@
               withdrawn);
 }
 
-std::vector<Plan::Answered> Outbox::take_answers() {
+std::vector<Plan::Answered> Outbox::take_answers(bool written) {
   std::vector<Plan::Answered> all;
   for (auto& [ticket, plan] : waiting_) {
+    if (!written && ticket != kNotWritten) continue;
     std::move(plan.answers.begin(), plan.answers.end(), std::back_inserter(all));
     plan.answers.clear();
   }
--- a/relay/core/outbox.hpp
+++ b/relay/core/outbox.hpp
@@ -55,11 +55,13 @@
   void withdraw(const EndpointId& endpoint, const Withdrawn& withdrawn);
   void withdraw_all(const Withdrawn& withdrawn);
   void withdraw(MessageId id, int attempt, const Withdrawn& withdrawn);
-  // Answers that wait, to be given otherwise.
-  std::vector<Plan::Answered> take_answers();
+  // Answers that wait, to be given otherwise: all, or those whose records are not written.
+  std::vector<Plan::Answered> take_answers() { return take_answers(true); }
+  std::vector<Plan::Answered> take_unwritten_answers() { return take_answers(false); }
 
  private:
   static constexpr std::uint64_t kNotWritten = std::numeric_limits<std::uint64_t>::max();
+  std::vector<Plan::Answered> take_answers(bool written);
   template <class Pick>
   void withdraw_if(Pick pick, const Withdrawn& withdrawn);
   std::deque<std::pair<std::uint64_t, Plan>> waiting_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -463,8 +463,8 @@
 // anew.
 void Relay::not_written() {
   unwritten_ = true;
-  // Their clients wait only so long: what stands in no record was not taken on.
-  turn_away(outbox_.take_answers(), 503);
+  // Their clients wait only so long: what stands in no record was not taken on. Others wait for their sync.
+  turn_away(outbox_.take_unwritten_answers(), 503);
   outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
   retry_later();
 }
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -173,7 +173,8 @@
            R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
            R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"Peers":true,"ConnIdle":5000000,)"
            R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":"subscribe","GroupSize":1,)"
-           R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":5000})";
+           R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":)" +
+           std::to_string(tick) + "}";
   }
   std::string member(const std::string& name, const std::string& address, const std::string& status = "ready",
                      const std::string& type = "small") {
@@ -206,6 +207,11 @@
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
       if (!own_settings.empty()) ::setenv("HERONVANE_SETTINGS", (folder + "/own.toml").c_str(), 1);
+      if (slow_disk) {
+        ::setenv("LD_PRELOAD", HERONVANE_SLOW_SYNC, 1);
+        ::setenv("HERONVANE_HOLD_SYNC", (folder + "/hold").c_str(), 1);
+        ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+      }
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
       if (error_pipe >= 0) ::dup2(error_pipe, STDERR_FILENO);
       for (int fd = STDIN_FILENO; no_streams && fd <= STDERR_FILENO; fd++) ::close(fd);
@@ -224,6 +230,8 @@
     std::filesystem::rename(folder + "/config.new", folder + "/config.json");
     ::kill(child, SIGHUP);
   }
+  void hold_syncs() { std::ofstream(folder + "/hold") << "x"; }
+  void release_syncs() { std::filesystem::remove(folder + "/hold"); }
   // Its exit status, or -1 where a signal ended it.
   int wait_exit() {
     int status = 0;
@@ -325,12 +333,14 @@
   std::string folder, members, finals;
   std::uint16_t port = 0;
   int workers = 8;
+  int tick = 5000;   // of the rounds, in microseconds
   std::string more;  // further members of the configuration
   std::string disk_mb = "3";
   std::string own_settings;  // the operator's file; empty: none
   pid_t child = -1;
   int error_pipe = -1;      // its standard error, in the log's place
   bool no_streams = false;  // started without standard streams
+  bool slow_disk = false;   // its syncs wait while hold_syncs() holds them
   rlim_t largest_file = 0;  // that the program may write; 0: any
   unsigned finals_status = 204;
   int refused_finals = 0;
--- /dev/null
+++ b/tests/slow_disk_test.cpp
@@ -0,0 +1,89 @@
+// Durability for the machine on a disk that takes its time: what waits for a sync, and what happens
+// meanwhile.
+#include <algorithm>
+
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+const char* const kSafe = "load-status";
+const char* const kUnsafe = "pay-and-order";
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+class SlowDiskTest : public RelayTest {
+ protected:
+  SlowDiskTest() {
+    slow_disk = true;
+    own_settings = "[store]\ndurability = \"machine\"\n";
+  }
+  void wait_until(Clock::time_point due) {
+    wait_for([&] { return Clock::now() > due; }, "time has passed");
+  }
+  // m1 is taken on and refused with a wait; its second call's record is then written, and waits for its sync.
+  void second_call_waits(const std::string& deadline, const char* cls = kUnsafe) {
+    endpoint.on_request([](const Got& g) { g.session->answer(429, "X-Come-Back-Ms: 400\r\n"); });
+    start();
+    EXPECT_EQ(hand_in("m1", cls, "x", deadline), 202u);
+    wait_for([&] { return endpoint.got.size() == 1; }, "the first call");
+    hold_syncs();
+    endpoint.on_request(answer_ok);
+    wait_until(Clock::now() + milliseconds(500));
+  }
+  // Whether anything in the folder says so.
+  bool written(const std::string& text) const {
+    for (const auto& f : std::filesystem::directory_iterator(folder + "/state")) {
+      if (f.is_directory()) continue;
+      std::ifstream in(f.path(), std::ios::binary);
+      const std::string bytes(std::istreambuf_iterator<char>(in), {});
+      if (bytes.find(text) != std::string::npos) return true;
+    }
+    return false;
+  }
+  void limit_files(rlim_t bytes) {
+    const rlimit limit{bytes, RLIM_INFINITY};
+    ASSERT_EQ(::prlimit(child, RLIMIT_FSIZE, &limit, nullptr), 0);
+  }
+  // Calls of m1, once a later message has been called.
+  long calls_of_m1() {
+    wait_for([&] { return health() == 200; }, "it goes on");
+    EXPECT_EQ(hand_in("m2", kSafe), 202u);
+    const auto calls = [&](const char* id) {
+      return std::count_if(endpoint.got.begin(), endpoint.got.end(),
+                           [&](const Got& g) { return g.request["X-Request-Id"] == id; });
+    };
+    wait_for([&] { return calls("m2") > 0; }, "the next message's call");
+    return calls("m1");
+  }
+};
+
+TEST_F(SlowDiskTest, ACallThatWaitsDoesNotGoToAnEndpointThatDrainsMeanwhile) {
+  second_call_waits("4000m");
+  tell(list(member("s-1", endpoint.address(), "draining"), false));
+  wait_for([&] { return endpoint.sessions[0]->ended; }, "the drain is told");
+  release_syncs();
+  wait_for([&] { return !finals.empty(); }, "the message ends");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(endpoint.got.size(), 1u);
+}
+
+// 503 says that a message was not taken on. It was told of one whose record stood, and which the next life
+// would call.
+TEST_F(SlowDiskTest, WhatIsWrittenIsNotRefusedForWantOfASync) {
+  start();
+  hold_syncs();
+  const auto first = connect();
+  first->write(request("first", kUnsafe));
+  wait_for([&] { return written("first"); }, "its record is written");
+  limit_files(1);
+  EXPECT_EQ(hand_in("second", kUnsafe), 503u);
+  EXPECT_TRUE(first->answers.empty());
+  limit_files(RLIM_INFINITY);
+  release_syncs();
+  wait_for([&] { return !first->answers.empty(); }, "it is answered");
+  EXPECT_EQ(first->answers[0].result_int(), 202u);
+}
+
+}  // namespace
+}  // namespace heronvane::testing
