Relay: a call that waits for its sync does not go once its message has ended

Cause: a message is given up two rounds before its time is up. A call of it that waited for its records still went out in these rounds, after its end was decided.

Change: what was given up is looked for where a call begins.

Result: the test saw two calls and a notice; now one call.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -511,9 +511,9 @@
   const Time now = store_.clock().now();
   std::erase_if(messages, [&](Outgoing& m) {
     const Held* const held = store_.find(m.id);
-    // It may have waited for its records.
+    // It may have waited for its records, and its message have been given up meanwhile.
     if (held != nullptr) m.timeout = std::min(m.timeout, held->message.deadline - now);
-    if (held != nullptr && m.timeout > 0) return false;
+    if (held != nullptr && !held->ending && m.timeout > 0) return false;
     take_back(endpoint, m);
     return true;
   });
--- a/tests/slow_disk_test.cpp
+++ b/tests/slow_disk_test.cpp
@@ -68,6 +68,18 @@
   EXPECT_EQ(endpoint.got.size(), 1u);
 }
 
+// A message is ended some rounds before its time is up. Its call, which waited, went out after that.
+TEST_F(SlowDiskTest, ACallThatWaitsDoesNotGoOnceItsMessageHasEnded) {
+  tick = 300'000;
+  const auto handed = Clock::now();
+  second_call_waits("3000m");
+  wait_until(handed + milliseconds(2700));
+  release_syncs();
+  wait_for([&] { return !finals.empty(); }, "the message ends");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(calls_of_m1(), 1);
+}
+
 // 503 says that a message was not taken on. It was told of one whose record stood, and which the next life
 // would call.
 TEST_F(SlowDiskTest, WhatIsWrittenIsNotRefusedForWantOfASync) {
