--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -575,7 +575,11 @@
 
 void Relay::check_drained() {
   const Time since = steady_now() - stop_at_;
-  if (!frozen_ && since >= kDrainSend) frozen_ = true;
+  if (since >= kDrainSend && !std::exchange(frozen_, true)) {
+    // What waits for its records would go too late for its answer to come home.
+    outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
+    settle();
+  }
   const bool home = calls_.out() == 0 && (frozen_ || store_.held().empty());
   const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
   if (since >= kDrainMost || (home && quiet && !unwritten_ && outbox_.empty())) {
--- a/tests/slow_disk_test.cpp
+++ b/tests/slow_disk_test.cpp
@@ -97,5 +97,18 @@
   EXPECT_EQ(first->answers[0].result_int(), 202u);
 }
 
+// No call begins so late after SIGTERM that its answer could not come home.
+TEST_F(SlowDiskTest, CallsThatWaitDoNotGoLateAfterSigterm) {
+  second_call_waits("24000m");
+  ::kill(child, SIGTERM);
+  wait_until(Clock::now() + milliseconds(1900));
+  release_syncs();
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_EQ(endpoint.got.size(), 1u);
+  start();
+  wait_for([&] { return endpoint.got.size() == 2; }, "the next life makes the call");
+  EXPECT_EQ(finals, "");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
