Relay: a sync that hangs is trouble; who waits for it is answered 504 after 3 s

Cause: while a sync did not come back health said 200 and clients waited without end.

Change: past 3 s of one sync nothing is taken on, health says 503, and answers that wait are given as 504, for their records may stand.

Result: the test waited in vain for both; now both come, and the relay goes on when the sync is back.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -455,8 +455,10 @@
     }
     schedule();  // what came meanwhile is decided on now
   }
-  if (!store_.trouble().empty()) retry_later();
   carry_out();
+  // Their records may stand after all, so nothing is promised.
+  if (store_.sync_hangs()) turn_away(outbox_.take_answers(), 504);
+  if (!store_.trouble().empty() || !outbox_.empty()) retry_later();
 }
 
 // Nothing that was planned goes as it was planned: by the time the store can be written the module is asked
@@ -465,6 +467,7 @@
   unwritten_ = true;
   // Their clients wait only so long: what stands in no record was not taken on. Others wait for their sync.
   turn_away(outbox_.take_unwritten_answers(), 503);
+  if (store_.sync_hangs()) turn_away(outbox_.take_answers(), 504);
   outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
   retry_later();
 }
--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -55,9 +55,15 @@
   if (over_limit())
     return "its files hold " + std::to_string(used_) + " bytes, more than the limit of " +
            std::to_string(options_.limit_bytes);
+  if (sync_hangs()) return "a sync of the disk takes long";
   return {};
 }
 
+bool Store::sync_hangs() const {
+  constexpr Time kLongSync = 3'000'000;
+  return syncing_ && clock_.now() - sync_began_ > kLongSync;
+}
+
 // Where the limit was lowered under what is there, its records may still be written; as files go, that room
 // goes with them.
 void Store::lower_ceiling() {
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -118,6 +118,8 @@
 
   // Why nothing is taken on, until it mends by itself; empty where all is well.
   std::string trouble() const;
+  // A sync takes so long that nobody should wait for it.
+  bool sync_hangs() const;
   std::uint64_t bytes() const { return used_; }  // of all files
   std::uint64_t limit() const { return options_.limit_bytes; }
   const std::map<SegmentNumber, Ledger::Segment>& segments() const { return ledger_.segments(); }
@@ -179,7 +181,7 @@
   Step finish_doomed();
   bool remove_file(const Doomed& doomed);
 
-  bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit(); }
+  bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit() || sync_hangs(); }
   // Past this nothing more is taken on or moved: else a stuck disk would fill the memory, and a failed sync
   // leave no room to write all of it once more.
   bool much_unsynced() const { return unsynced_bytes_ > segment_bytes(options_.limit_bytes); }
@@ -222,6 +224,7 @@
 
   Sequence synced_ = 0;
   bool syncing_ = false, folder_dirty_ = false;
+  Time sync_began_ = 0;
   std::map<SegmentNumber, Sequence>
       unsynced_segments_;                   // where each that was begun since the last sync begins
   std::vector<FileId> unsynced_files_;      // that are not written to any more
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -168,7 +168,7 @@
 // One sync at a time; what is written meanwhile waits for the next, with all that came with it.
 void Store::sync() {
   if (syncing_ || !rewrite_.empty() || synced_ == next_ - 1) return;
-  syncing_ = true;
+  syncing_ = true, sync_began_ = clock_.now();
   const Sequence upto = next_ - 1;
   const bool folder = std::exchange(folder_dirty_, false);
   auto closing = std::exchange(unsynced_files_, {});
--- a/tests/slow_disk_test.cpp
+++ b/tests/slow_disk_test.cpp
@@ -110,5 +110,23 @@
   EXPECT_EQ(finals, "");
 }
 
+// A sync that does not come back is trouble: health tells it, and clients do not wait for ever.
+TEST_F(SlowDiskTest, ASyncThatHangsIsTold) {
+  start();
+  hold_syncs();
+  const auto first = connect();
+  first->write(request("first", kUnsafe, "x", "24000m"));
+  wait_for([&] { return written("first"); }, "its record is written");
+  wait_for([&] { return health() == 503; }, "health tells it");
+  wait_for([&] { return !first->answers.empty(); }, "its client is answered");
+  EXPECT_EQ(first->answers[0].result_int(), 504u);
+  EXPECT_EQ(hand_in("second", kSafe), 503u);
+  release_syncs();
+  wait_for([&] { return health() == 200; }, "it goes on");
+  EXPECT_EQ(hand_in("third", kSafe), 202u);
+  wait_for([&] { return !endpoint.got.empty(); }, "the call");
+  EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "third") << "nothing was promised of the first";
+}
+
 }  // namespace
 }  // namespace heronvane::testing
