Store: syncs that fail for long leave no segments behind, and are told of throughout

Cause: each failed sync left an emptied segment, 20 a second. Their places in each first record (16 bytes) and what stayed live in them filled the folder: after 3000 failures "the limit is reached", and it never went on once the disk was well. Between two failures health said 200 and messages were taken on, to be answered 504; all was written anew each time.

Change: such a segment's file goes, and the ledger forgets it; the trouble lasts until a sync succeeds; the next try waits 50 ms to 2 s.

Result: the test of 3000 failures, 150 s, fails before at its recovery; now under 50 segments, and it goes on.

--- a/relay/store/ledger.cpp
+++ b/relay/store/ledger.cpp
@@ -37,6 +37,28 @@
   s.bytes = 0, s.end = 1;  // before the first record of all: none is missing in it
 }
 
+void Ledger::forget_segment(SegmentNumber segment) {
+  const auto here = [&](Place& place) {
+    if (place.segment != segment) return false;
+    dead(place);
+    place = {};
+    return true;
+  };
+  auto& residents = residents_.at(segment);
+  for (const auto& r : residents.messages) {
+    const auto it = tracks_.find(r.number);
+    if (it == tracks_.end()) continue;
+    here(it->second.base);
+    std::erase_if(it->second.later, here);
+    if (r.base) it->second.bases--;
+    drop_if_done(it);
+  }
+  for (const auto& key : residents.facts)
+    if (const auto it = facts_.find(key); it != facts_.end()) here(it->second.place);
+  residents_.erase(segment);
+  segments_.erase(segment);
+}
+
 void Ledger::dead(const Place& place) {
   if (place.bytes == 0) return;
   segments_.at(place.segment).live -= place.bytes;
--- a/relay/store/ledger.hpp
+++ b/relay/store/ledger.hpp
@@ -52,6 +52,8 @@
   void old(SegmentNumber segment) { segments_.at(segment).old = true; }
   // Its file was cut to nothing, as all that stood in it is written once more.
   void emptied(SegmentNumber segment);
+  // And it is gone; what stood in it is live nowhere until it is noted once more.
+  void forget_segment(SegmentNumber segment);
   // Nothing is added to it any more.
   void closed(SegmentNumber segment, Sequence end) { segments_.at(segment).end = end; }
   // The record stands in that segment, behind all that was noted before.
--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -51,6 +51,7 @@
 
 std::string Store::trouble() const {
   if (!failure_.empty()) return failure_;
+  if (!sync_failure_.empty()) return sync_failure_;
   if (reserve_short_) return "no room on the volume for the records of what is held";
   if (over_limit())
     return "its files hold " + std::to_string(used_) + " bytes, more than the limit of " +
@@ -141,7 +142,7 @@
     booked_.ids -= over_bytes(forgotten.id);
     ledger_.forget_id(forgotten.number);
   }
-  if (!rewrite_.empty() && !write_again()) return false;
+  if (!rewrite_.empty() && (now < sync_again_ || !write_again())) return false;
   // Room that the volume did not have for what is held is asked for again.
   if (reserve_short_) ensure_reserve(booked_.later);
   if (pending_.empty() && failure_.empty()) return true;
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -181,7 +181,9 @@
   Step finish_doomed();
   bool remove_file(const Doomed& doomed);
 
-  bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit() || sync_hangs(); }
+  bool troubled() const {
+    return !failure_.empty() || !sync_failure_.empty() || reserve_short_ || over_limit() || sync_hangs();
+  }
   // Past this nothing more is taken on or moved: else a stuck disk would fill the memory, and a failed sync
   // leave no room to write all of it once more.
   bool much_unsynced() const { return unsynced_bytes_ > segment_bytes(options_.limit_bytes); }
@@ -216,7 +218,8 @@
   FileId reserve_ = -1;
   std::uint64_t reserve_bytes_ = 0;
   bool reserve_short_ = false, reserve_off_ = false;
-  std::string failure_;  // of the last write; empty where it went well
+  std::string failure_;       // of the last write; empty where it went well
+  std::string sync_failure_;  // of the last sync
 
   std::optional<Victim> victim_;
   std::vector<Doomed> doomed_;
@@ -224,7 +227,8 @@
 
   Sequence synced_ = 0;
   bool syncing_ = false, folder_dirty_ = false;
-  Time sync_began_ = 0;
+  Time sync_began_ = 0, sync_again_ = 0;
+  Time sync_pause_ = 0;  // after the next one that fails
   std::map<SegmentNumber, Sequence>
       unsynced_segments_;                   // where each that was begun since the last sync begins
   std::vector<FileId> unsynced_files_;      // that are not written to any more
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::uint64_t kReserveStep = 64 * 1024;
+constexpr Time kFirstPause = 50'000, kMostPause = 2'000'000;  // after failed syncs, until the next
 constexpr std::size_t kSegmentHead = 256;  // more than the first record takes, but for its list of others
 constexpr std::size_t kOtherBytes = sizeof(SegmentNumber) + sizeof(Sequence);
 
@@ -187,7 +188,12 @@
   if (bad) {
     // What such a file holds is not known any more, also to a later sync that succeeds: all of it is written
     // once more, elsewhere.
-    failed("can't be synced: " + bad.message());
+    if (sync_failure_.empty())
+      options_.log("store: can't be synced: " + bad.message() + "; taking nothing on until it can be");
+    sync_failure_ = "can't be synced: " + bad.message();
+    // Guards against a disk that fails for long, and is given all of it again and again.
+    sync_again_ = clock_.now() + sync_pause_;
+    sync_pause_ = std::clamp(2 * sync_pause_, kFirstPause, kMostPause);
     mark_sync_failed();
     folder_dirty_ = folder_dirty_ || folder;
     if (active_) {
@@ -200,6 +206,8 @@
     rewrite_ = std::exchange(unsynced_, {});
     unsynced_bytes_ = 0;
   } else {
+    if (!std::exchange(sync_failure_, {}).empty()) options_.log("store: synced again");
+    sync_pause_ = 0;
     synced_ = upto;
     std::erase_if(unsynced_segments_, [upto](const auto& s) { return s.second <= upto; });
     while (!unsynced_.empty() && unsynced_.front().last <= upto) {
@@ -226,6 +234,12 @@
     if (bad) return;
     used_ -= on_disk(segment->second.bytes);
     ledger_.emptied(it->first);
+    // The name too: a disk that fails for long would else fill the folder with empty files.
+    if (disk_.remove(name_of(it->first))) continue;
+    folder_dirty_ = true;
+    if (victim_ && victim_->number == it->first) victim_.reset();
+    ledger_.forget_segment(it->first);
+    names_.erase(it->first);
   }
 }
 
--- a/tests/store/fault_test.cpp
+++ b/tests/store/fault_test.cpp
@@ -305,6 +305,46 @@
   ASSERT_EQ(kill_now(disk, oracle, life, setting), "");
 }
 
+// Syncs that fail for long: each is tried again with all that came with it, and nothing piles up by that.
+TEST(Fault, SyncsFailForLong) {
+  MemoryDisk disk;
+  Oracle oracle;
+  Setting setting;
+  setting.limit = 200'000;
+  setting.durability = Durability::machine;
+  Life life(disk, oracle, setting, 5);
+  for (int i = 0; i < 30; i++) life.round();
+  life.syncer().run_all();
+  disk.fail_from(disk.operations(Kind::sync) + 1,
+                 {.error = std::errc::io_error, .only = Kind::sync, .drops = true});
+  std::size_t segments = 0, files = 0;
+  int well = 0;
+  const auto before = life.store().written_bytes();
+  for (int i = 0; i < 3000; i++) {
+    life.clocks().pass(50'000);
+    if (i % 100 == 0) {
+      life.round();
+    } else {
+      life.store().commit();
+      life.syncer().run_all();
+      if (life.store().wants_compaction()) life.store().compact();
+      life.syncer().run_all();
+    }
+    well += life.store().trouble().empty();
+    segments = std::max(segments, life.store().segments().size());
+    files = std::max(files, disk.open_files());
+  }
+  EXPECT_EQ(well, 0) << "a moment between two failures looks well";
+  EXPECT_LT(life.store().written_bytes() - before, 10'000'000u);
+  EXPECT_LT(segments, 50u);
+  EXPECT_LT(files, 10u);
+  ASSERT_EQ(kill_now(disk, oracle, life, setting), "");
+  disk.heal();
+  ASSERT_NO_FATAL_FAILURE(expect_recovery(disk, life));
+  ASSERT_LE(disk.peak_bytes(), setting.limit);
+  ASSERT_EQ(kill_now(disk, oracle, life, setting), "");
+}
+
 // Sets part of the room aside and fails, as ext4 does.
 class PartlyDisk : public MemoryDisk {
  public:
