Store: a fresh segment whose first write fails is not kept

Cause: where a segment could be begun and its first batch failed with EIO, each try left one of 512 bytes. 127 of them in a folder of 200 kB: "the limit is reached", for good, also once the disk was well.

Change: a segment that was begun and sealed within one write is removed; nothing counts in it.

Result: 2000 such failures, in both durabilities, leave under 50 segments and are recovered from.

--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -163,6 +163,7 @@
   std::error_code roll();
   void written(Batch& batch, std::vector<Note>& notes);
   void seal();
+  void discard(SegmentNumber number);
   bool ensure_reserve(std::uint64_t later);
   void release_reserve();
   void sync();
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -33,13 +33,16 @@
     }
     const bool full = active_ && active_->size >= segment_bytes(options_.limit_bytes);
     const bool large = active_ && active_->size + batch.bytes() > 2 * segment_bytes(options_.limit_bytes);
-    bad = !active_ || full || large ? roll() : std::error_code{};
+    const bool begins = !active_ || full || large;
+    bad = begins ? roll() : std::error_code{};
+    const bool begun = begins && !bad;
     if (!bad) bad = try_write(batch, batch.stamped(next_));
     if (!bad) {
       written(batch, notes);
       if (!std::exchange(failure_, {}).empty()) options_.log("store: written again");
       return true;
     }
+    if (begun && !active_) discard(last_number_);
     if (bad != std::errc::no_space_on_device || reserve_bytes_ == 0) break;
     release_reserve();
     reserve_short_ = true;
@@ -80,6 +83,20 @@
   active_.reset();
 }
 
+// Begun and sealed within one write: nothing counts in it. Each try would else leave one, until the limit is
+// reached.
+void Store::discard(SegmentNumber number) {
+  if (options_.durability == Durability::machine) {
+    disk_.close(unsynced_files_.back());
+    unsynced_files_.pop_back();
+  }
+  if (disk_.remove(name_of(number))) return;
+  used_ -= on_disk(ledger_.segments().at(number).bytes);
+  unsynced_segments_.erase(number);
+  ledger_.forget_segment(number);
+  names_.erase(number);
+}
+
 std::error_code Store::roll() {
   record::Segment head;
   head.number = last_number_ + 1;
--- a/tests/store/fault_test.cpp
+++ b/tests/store/fault_test.cpp
@@ -305,6 +305,36 @@
   ASSERT_EQ(kill_now(disk, oracle, life, setting), "");
 }
 
+// Segments can be begun and nothing more be written to them: none stays for each try.
+TEST(Fault, WritesToFreshSegmentsFailForLong) {
+  for (const auto durability : {Durability::process, Durability::machine}) {
+    MemoryDisk disk;
+    Oracle oracle;
+    Setting setting;
+    setting.limit = 200'000;
+    setting.durability = durability;
+    Life life(disk, oracle, setting, 7);
+    for (int i = 0; i < 30; i++) life.round();
+    life.syncer().run_all();
+    std::size_t segments = 0, files = 0, first = 1;
+    for (int i = 0; i < 2000; i++) {
+      life.clocks().pass(50'000);
+      disk.fail(disk.operations(Kind::write) + first, {.error = std::errc::io_error, .only = Kind::write});
+      if (life.store().commit()) life.round();
+      life.syncer().run_all();
+      first = 2;  // behind the first record
+      segments = std::max(segments, life.store().segments().size());
+      files = std::max(files, disk.open_files());
+    }
+    EXPECT_LT(segments, 50u);
+    EXPECT_LT(files, 10u);
+    disk.heal();
+    ASSERT_NO_FATAL_FAILURE(expect_recovery(disk, life));
+    ASSERT_LE(disk.peak_bytes(), setting.limit);
+    ASSERT_EQ(kill_now(disk, oracle, life, setting), "") << life.log();
+  }
+}
+
 // Syncs that fail for long: each is tried again with all that came with it, and nothing piles up by that.
 TEST(Fault, SyncsFailForLong) {
   MemoryDisk disk;
