Relay: lists that change while nothing can be written do not pile up records

Cause: the values that wait by key were meant for this, but the memory of lists wrote to the store beside them: each change of a list added a record to the batch that waits, for as long as the disk was full.

Change: it goes through the same door.

Result: 200 changes of one endpoint left 200 records, and leave 2 at most.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -90,9 +90,8 @@
       peers_(hear_peers()),
       sync_thread_(sync_thread()),
       store_(*folder_, store_options(config), sync_thread_.get()),
-      list_memory_(
-          store_.facts(), config.known, store_.clock().now(),
-          [this](const std::string& key, const std::string& value) { return store_.keep(key, value); }),
+      list_memory_(store_.facts(), config.known, store_.clock().now(),
+                   [this](const std::string& key, const std::string& value) { return keep(key, value); }),
       known_(list_memory_.known(config.known)),
       recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits}),
       dispatcher_(config.settings, config.seed),
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -354,6 +354,36 @@
   EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
 }
 
+// A list may go on changing for as long as nothing can be written: what waits to be written does not grow by
+// it.
+TEST_F(FolderTest, ListsThatChangeWhileNothingCanBeWrittenDoNotPileUp) {
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  limit_files(1);
+  wait_for([&] { return hand_in("refused", kSafe) == 503u && health() == 503; }, "nothing can be written");
+  for (int i = 0; i < 200; i++)
+    tell(list(member("s-1", endpoint.address(), i % 2 == 0 ? "draining" : "ready"), false));
+  std::string fresh = member("s-8", endpoint.address());
+  fresh.replace(fresh.find("\"group\":7"), 9, "\"group\":8");
+  tell(list(fresh, false));
+  wait_for(
+      [&] {
+        std::string probe = request("probe", kSafe);
+        probe.replace(probe.find("dest=7"), 6, "dest=8");
+        return ask(probe) == 503u;  // 404 until the lists are read
+      },
+      "the lists are read");
+  limit_files(RLIM_INFINITY);
+  wait_for([&] { return health() == 200; }, "it can be written again");
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  std::size_t records = 0;
+  for (const auto& [name, bytes] : files())
+    for (auto at = bytes.find("endpoint/s-1"); at != std::string::npos;
+         at = bytes.find("endpoint/s-1", at + 1))
+      records++;
+  EXPECT_LE(records, 2u);
+}
+
 // A limit lowered under what is held used to lock the journal up for good, with health at 200.
 TEST_F(FolderTest, ALimitLoweredUnderWhatIsHeldIsLivedThrough) {
   endpoint.on_request(stay_silent);
