Relay: notes from peers do not pile up while nothing can be written

Cause: the module is not asked then, and each note waited for it as an event: 30,000 of them took 9 MB.

Change: they are dropped meanwhile, as any note may be.

Result: the test allows 2 MB.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -131,6 +131,8 @@
   if (!s.peers || !config_.peer_listen) return nullptr;
   return std::make_unique<Peers>(io_, *config_.peer_listen, config_.peers, config_.peers_all, s.rank,
                                  [this](int from, std::string body) {
+                                   // They would pile up while the module is not asked; any may be lost.
+                                   if (unwritten_ || frozen_) return;
                                    happened(event::PeerNote{from, std::move(body)});
                                  });
 }
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -384,6 +384,37 @@
   EXPECT_LE(records, 2u);
 }
 
+// Notes from other relays go on coming while nothing can be written, and the module is not asked.
+TEST_F(FolderTest, NotesThatComeWhileNothingCanBeWrittenDoNotPileUp) {
+  using udp = net::ip::udp;
+  const auto here = net::ip::make_address(own_address());
+  udp::socket peer(io, {here, 0}), probe(io, {here, 0});
+  const auto own = probe.local_endpoint();
+  probe.close();
+  const auto text = [](const udp::endpoint& e) {
+    return "\"" + e.address().to_string() + ":" + std::to_string(e.port()) + "\"";
+  };
+  more =
+      ",\"peer_listen\":" + text(own) + ",\"peers\":[" + text(own) + "," + text(peer.local_endpoint()) + "]";
+  start();
+  limit_files(1);
+  wait_for([&] { return hand_in("refused", kSafe) == 503u && health() == 503; }, "nothing can be written");
+  const auto send_notes = [&](int crowds) {
+    for (int i = 0; i < crowds; i++) {
+      for (int k = 0; k < 50; k++) peer.send_to(net::buffer(std::string(200, 'x')), own);
+      ASSERT_EQ(health(), 503u);  // by now it has read them
+    }
+  };
+  send_notes(20);
+  [[maybe_unused]] const long before = resident();
+  send_notes(600);
+#ifndef __SANITIZE_ADDRESS__
+  EXPECT_LE(resident(), before + 2048);
+#endif
+  limit_files(RLIM_INFINITY);
+  wait_for([&] { return health() == 200; }, "it can be written again");
+}
+
 // A limit lowered under what is held used to lock the journal up for good, with health at 200.
 TEST_F(FolderTest, ALimitLoweredUnderWhatIsHeldIsLivedThrough) {
   endpoint.on_request(stay_silent);
