Store: what was learned of targets takes half of the share of facts at most

A value could not be changed at the bound either, and the old one, not so any more, stayed.

Change: keep() may be bound to a part of the share; a value may change where it does not grow; what finds no room any more is dropped.

Result: the new test fails at each of these before.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -317,8 +317,14 @@
   const auto& own = config_.own.store;
   if (!own.keep_health && !own.keep_waits) return;
   const Time now = store_.clock().now();
-  for (const auto& memory : dispatcher_.learned(last_round_, kMostTargets))
-    keep(target_key(memory.endpoint), memory.blank() ? std::string() : write_target(memory, now));
+  // The rest is for endpoints that drain or are gone: these bind.
+  constexpr unsigned kTargetPart = 50;
+  for (const auto& memory : dispatcher_.learned(last_round_, kMostTargets)) {
+    const std::string key = target_key(memory.endpoint);
+    const std::string value = memory.blank() ? std::string() : write_target(memory, now);
+    // Better nothing than what is not so any more.
+    if (!store_.keep(key, value, kTargetPart)) store_.keep(key, {});
+  }
 }
 
 void Relay::schedule() {
--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -123,12 +123,14 @@
   }
 }
 
-bool Store::keep(const std::string& key, const std::string& value) {
+bool Store::keep(const std::string& key, const std::string& value, unsigned part) {
   const auto it = facts().find(key);
   if (it == facts().end() ? value.empty() : it->second == value) return true;
   const std::uint64_t bytes = key.size() + value.size();
+  const std::uint64_t before = it == facts().end() ? 0 : key.size() + it->second.size();
+  const std::uint64_t most = options_.limit_bytes / 100 * kFactShare * part / 100;
   if (!value.empty() &&
-      (bytes > kMostFact || table_.fact_bytes() + bytes > options_.limit_bytes / 100 * kFactShare))
+      (bytes > kMostFact || (bytes > before && table_.fact_bytes() - before + bytes > most)))
     return false;
   const record::Fact r{key, value};
   add(r);
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -98,8 +98,9 @@
   // Nothing is owed any more. Its id is remembered where that is asked for and `was_told`: its client knows
   // that it was taken on.
   void over(MessageId number, bool was_told = true);
-  // Other things to keep, by key; false where their share of the disk is used up. An empty value drops it.
-  bool keep(const std::string& key, const std::string& value);
+  // Other things to keep, by key; false where their share of the disk is used up, or `part` percent of it. An
+  // empty value drops it.
+  bool keep(const std::string& key, const std::string& value, unsigned part = 100);
 
   // Writes what was added, all or nothing; false where the disk won't take it now: it is kept for the next
   // commit.
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -102,6 +102,27 @@
   EXPECT_EQ(s->next_number(), 5u);
 }
 
+// Facts of one kind may be bound to a part of their share, so that others find room; and a value may be
+// changed at the bound, where it grows by nothing.
+TEST(Store, FactsLeaveRoomForOthers) {
+  MemoryDisk disk;
+  Bench b;
+  const auto s = b.open(disk);
+  const auto key = [](const char* kind, int i) { return kind + std::to_string(1000 + i); };
+  int targets = 0, others = 0;
+  while (s->keep(key("target/", targets), std::string(100, 'a'), 50)) targets++;
+  ASSERT_GT(targets, 100);
+  EXPECT_TRUE(s->keep(key("target/", 7), std::string(100, 'b'), 50));
+  EXPECT_FALSE(s->keep(key("target/", 7), std::string(200, 'b'), 50));
+  while (s->keep(key("others/", others), std::string(100, 'a'))) others++;
+  EXPECT_GE(others, targets);
+  EXPECT_TRUE(s->keep(key("others/", 7), std::string(100, 'b')));
+  EXPECT_TRUE(s->keep(key("target/", 7), std::string(100, 'c'), 50));
+  EXPECT_TRUE(s->keep(key("target/", 7), ""));
+  EXPECT_TRUE(s->keep(key("others/", others), std::string(100, 'a')));
+  ASSERT_TRUE(s->commit());
+}
+
 // Long random lives, restarted now and then: each start finds what the last life had, the files stay under
 // the limit at every instant, and what is over does not come back though its records move.
 TEST(Store, RandomLivesAreFoundAgain) {
