ListMemory: an entry that makes room for itself is not kept in the store

Cause: where the newest entry was the one to make room it was written nevertheless, and another, known one dropped: store and memory differed until the next start.

Change: it ends there.

--- a/relay/core/list_memory.cpp
+++ b/relay/core/list_memory.cpp
@@ -94,7 +94,8 @@
   while (unfit_.size() >= kMost) make_room();
   const std::string text = write_unfit(unfit);
   unfit_[endpoint] = std::move(unfit);
-  while (!keep_(kPrefix + endpoint, text) && unfit_.size() > 1) make_room();
+  // It may be the one that makes room.
+  while (unfit_.count(endpoint) > 0 && !keep_(kPrefix + endpoint, text) && unfit_.size() > 1) make_room();
 }
 
 void ListMemory::forget(const EndpointId& endpoint) {
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -97,6 +97,16 @@
   EXPECT_EQ(facts.all.count("endpoint/e0"), 1u) << "known names it";
   EXPECT_EQ(facts.all.count("endpoint/e9"), 1u);
 }
+// What is kept is what is known, also where the newest one is the one to make room.
+TEST(ListMemory, WhatMadeRoomForItselfIsNotKept) {
+  Facts facts;
+  facts.most = 2;
+  ListMemory m(facts.all, list(1, true, {{"a", kReady}, {"b", kReady}}), kNow, facts.keep());
+  m.gone("a", 1, kHere, kNow), m.gone("b", 2, kHere, kNow), m.gone("c", 3, kHere, kNow);
+  EXPECT_EQ(m.size(), 2u);
+  EXPECT_EQ(facts.all.count("endpoint/a"), 1u);
+  EXPECT_EQ(facts.all.count("endpoint/b"), 1u);
+}
 TEST(ListMemory, UnreadableFactsAreDropped) {
   Facts facts;
   facts.all = {{"endpoint/a", "what"}, {"endpoint/b", ""}, {"other", "x"}};
