ListMemory: older lists are no news for an hour at most

Cause: a discovery that begins to count its lists anew at the same address could not bring back an endpoint that it had told to drain, until its count had passed the old one.

Change: what was told holds against older lists for an hour.

--- a/relay/core/list_memory.cpp
+++ b/relay/core/list_memory.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 const std::string kPrefix = "endpoint/";
-// Long past the lists that a restart may bring back.
+// Long past the lists that a restart may bring back. Lists that are older after that come from a discovery
+// that counts anew.
 constexpr Time kLongest = 3'600'000'000;
 constexpr std::size_t kMost = 4096;  // the oldest that `known` does not name make room
 
@@ -66,8 +67,8 @@
 MemberList ListMemory::told(MemberList list, const std::string& discovery, Time now) {
   std::erase_if(list.members, [&](Member& m) {
     const auto it = unfit_.find(m.endpoint.id);
-    const bool older =
-        it != unfit_.end() && it->second.discovery == discovery && list.index < it->second.index;
+    const bool older = it != unfit_.end() && it->second.discovery == discovery &&
+                       list.index < it->second.index && now - it->second.told <= kLongest;
     if (older) {
       m.endpoint.listing = it->second.listing;
       return list.snapshot && m.endpoint.listing == Listing::gone;
--- a/relay/core/list_memory.hpp
+++ b/relay/core/list_memory.hpp
@@ -3,7 +3,7 @@
 //
 // After a restart the configuration's `known` list, or a list from a discovery that lags, may name such an
 // endpoint as ready. What was told holds until a list of the same discovery that is not older says otherwise,
-// or another discovery's does: never until `known` does.
+// or another discovery's does, or an hour is over: never until `known` does.
 #pragma once
 
 #include <cstdint>
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -107,6 +107,15 @@
   EXPECT_EQ(facts.all.count("endpoint/a"), 1u);
   EXPECT_EQ(facts.all.count("endpoint/b"), 1u);
 }
+// A discovery that began to count anew must not keep an endpoint from use for ever.
+TEST(ListMemory, OlderListsAreNoNewsForAnHourAtMost) {
+  Facts facts;
+  ListMemory m(facts.all, {}, kNow, facts.keep());
+  m.told(list(500, false, {{"a", kDraining}}), kHere, kNow);
+  EXPECT_EQ(said(m.told(list(3, false, {{"a", kReady}}), kHere, kNow + kHour)), (Said{{"a", kDraining}}));
+  EXPECT_EQ(said(m.told(list(3, false, {{"a", kReady}}), kHere, kNow + kHour + 1)), (Said{{"a", kReady}}));
+  EXPECT_TRUE(facts.all.empty());
+}
 TEST(ListMemory, UnreadableFactsAreDropped) {
   Facts facts;
   facts.all = {{"endpoint/a", "what"}, {"endpoint/b", ""}, {"other", "x"}};
