--- a/relay/store/compaction.cpp
+++ b/relay/store/compaction.cpp
@@ -147,12 +147,13 @@
   return Step::more;
 }
 
-bool Store::remove_file(const Doomed& doomed) {
+bool Store::remove_file(Doomed& doomed) {
   const std::string name = name_of(doomed.number);
   const auto bad = doomed.set_aside ? disk_.rename(name, "damaged-" + name) : disk_.remove(name);
   if (bad && bad != std::errc::no_such_file_or_directory) {
-    options_.log("store: " + name + " can't be " + (doomed.set_aside ? "set aside: " : "removed: ") +
-                 bad.message());
+    if (!std::exchange(doomed.told, true))
+      options_.log("store: " + name + " can't be " + (doomed.set_aside ? "set aside: " : "removed: ") +
+                   bad.message());
     return false;
   }
   if (doomed.set_aside)
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -148,6 +148,7 @@
     Sequence after = 0;
     bool set_aside = false;
     bool gone = false;  // its file; what the ledger knows of it follows in steps
+    bool told = false;  // that its file can't be removed
   };
 
   // recovery.cpp
@@ -181,7 +182,7 @@
   Step move_step();
   Step doom(SegmentNumber number);
   Step finish_doomed();
-  bool remove_file(const Doomed& doomed);
+  bool remove_file(Doomed& doomed);
 
   bool troubled() const {
     return !failure_.empty() || !sync_failure_.empty() || reserve_short_ || over_limit() || sync_hangs();
--- a/tests/store/fault_test.cpp
+++ b/tests/store/fault_test.cpp
@@ -335,6 +335,29 @@
   }
 }
 
+// A file that can't be removed for long is told of once, not each time that is tried.
+TEST(Fault, AFileThatStaysIsToldOfOnce) {
+  MemoryDisk disk;
+  Oracle oracle;
+  Setting setting;
+  setting.limit = 150'000;
+  Life life(disk, oracle, setting, 5);
+  disk.fail_from(1, {.error = std::errc::io_error, .only = Kind::remove});
+  const auto told = [&] {
+    int n = 0;
+    for (auto at = life.log().find("can't be removed"); at != std::string::npos;
+         at = life.log().find("can't be removed", at + 1))
+      n++;
+    return n;
+  };
+  for (int i = 0; i < 300 && told() == 0; i++) life.round();
+  ASSERT_EQ(told(), 1);
+  for (int i = 0; i < 50; i++) life.store().compact();
+  EXPECT_EQ(told(), 1);
+  disk.heal();
+  ASSERT_NO_FATAL_FAILURE(expect_recovery(disk, life));
+}
+
 // Syncs that fail for long: each is tried again with all that came with it, and nothing piles up by that.
 TEST(Fault, SyncsFailForLong) {
   MemoryDisk disk;
