Relay: one chain of compaction steps, not a timer beside it

Cause: after each step with more to do the timer for a blocked one was set too. Where it fired in a later run it began a second chain of steps beside that one. Seen in the code; it has no result that a test could tell.

Change: a step with more to do goes on, and sets no timer.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -555,7 +555,7 @@
   net::post(io_, [this] {
     const auto step = store_.compact();
     compacting_ = step == store::Store::Step::blocked;
-    if (step == store::Store::Step::more) compact();
+    if (step == store::Store::Step::more) return compact();
     if (!compacting_) return;
     // Guards against a full disk that keeps a core busy.
     compact_timer_.expires_after(kCompactRetry);
