Store: a start drops what was learned of targets more than a week ago

Cause: the module drops what it gave out. Of endpoints that went while no relay ran it never hears, so their facts stayed for good, start upon start, until no new ones found room.

Change: a start drops those older than a week, and those that can't be read.

--- a/relay/core/target_memory.cpp
+++ b/relay/core/target_memory.cpp
@@ -16,6 +16,7 @@
 
 const std::string kPrefix = "target/";
 constexpr int kForm = 1;  // of the text
+constexpr Time kLongest = Time{7} * 86'400'000'000;
 
 }  // namespace
 
@@ -47,13 +48,16 @@
   return t;
 }
 
-RecalledTargets::RecalledTargets(const std::map<std::string, std::string>& facts, Which which)
+RecalledTargets::RecalledTargets(const std::map<std::string, std::string>& facts, Which which, Time now)
     : which_(which) {
-  if (!which.health && !which.waits) return;
   for (auto it = facts.lower_bound(kPrefix);
        it != facts.end() && it->first.compare(0, kPrefix.size(), kPrefix) == 0; ++it) {
     const EndpointId id = it->first.substr(kPrefix.size());
-    if (const auto t = read_target(id, it->second)) targets_.emplace(id, *t);
+    const auto t = read_target(id, it->second);
+    if (!t || t->learned < now - kLongest)
+      outdated_.push_back(it->first);
+    else if (which.health || which.waits)
+      targets_.emplace(id, *t);
   }
 }
 
--- a/relay/core/target_memory.hpp
+++ b/relay/core/target_memory.hpp
@@ -28,7 +28,11 @@
     bool health = true;  // health, ramp, delay and pace
     bool waits = true;   // told waits
   };
-  RecalledTargets(const std::map<std::string, std::string>& facts, Which which);
+  RecalledTargets(const std::map<std::string, std::string>& facts, Which which, cedarplank::Time now);
+
+  // Keys of `facts` that tell nothing any more: of endpoints that were not seen for a week, mostly since they
+  // went while no relay ran, or that can't be read.
+  const std::vector<std::string>& outdated() const { return outdated_; }
 
   // What was learned of an endpoint that is listed now, as an event at `now`; once. `gap`: of the time since
   // then, what only the wall clock vouches for; no wait is shortened by it.
@@ -38,6 +42,7 @@
 
  private:
   Which which_;
+  std::vector<std::string> outdated_;
   std::map<cedarplank::EndpointId, LearnedTarget> targets_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -93,7 +93,8 @@
       list_memory_(store_.facts(), config.known, store_.clock().now(),
                    [this](const std::string& key, const std::string& value) { return keep(key, value); }),
       known_(list_memory_.known(config.known)),
-      recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits}),
+      recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits},
+                store_.clock().now()),
       dispatcher_(config.settings, config.seed),
       calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
       platform_(
@@ -115,6 +116,7 @@
   }
   for (const auto& m : config.known.members) destinations_.insert(m.endpoint.destination);
   events_.push_back(event::ListWhole{endpoints_of(known_), true});
+  for (const auto& key : recalled_.outdated()) store_.keep(key, {});
   store_.on_sync([this] { synced(); });
   recall();
   recover();
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -144,7 +144,7 @@
   const std::map<std::string, std::string> facts = {{target_key("a"), write_target(m, kNow)}};
   const Time later = kNow + 8'000'000;
   const auto wait = [&](Time gap, RecalledTargets::Which which) -> Time {
-    const auto r = RecalledTargets(facts, which).take("a", later, gap);
+    const auto r = RecalledTargets(facts, which, later).take("a", later, gap);
     return r ? r->memory.wait_left - r->age : -1;
   };
   EXPECT_EQ(wait(0, {true, true}), 2'000'000);
@@ -153,6 +153,21 @@
   EXPECT_EQ(wait(0, {false, true}), 2'000'000);
 }
 
+// Of endpoints that went while no relay ran nobody would ever drop it.
+TEST(TargetMemory, WhatWasNotSeenForAWeekIsOutdated) {
+  cedarplank::TargetMemory m;
+  m.health = Health::closed;
+  const auto text = write_target(m, kNow);
+  const std::map<std::string, std::string> facts = {{target_key("a"), text}, {target_key("b"), "what"}};
+  const RecalledTargets soon(facts, {true, true}, kNow + 7 * 24 * kHour);
+  EXPECT_EQ(soon.size(), 1u);
+  EXPECT_EQ(soon.outdated(), std::vector<std::string>{target_key("b")});
+  const RecalledTargets late(facts, {true, true}, kNow + 7 * 24 * kHour + 1);
+  EXPECT_EQ(late.size(), 0u);
+  EXPECT_EQ(late.outdated(), (std::vector<std::string>{target_key("a"), target_key("b")}));
+  EXPECT_EQ(RecalledTargets(facts, {false, false}, kNow).size(), 0u);
+}
+
 #ifdef HERONVANE_SETTINGS_FILE
 TEST(OperatorSettings, AreReadAndTheirErrorsNameThePlace) {
   const auto s = read_operator_settings(
