--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -91,11 +91,11 @@
       peers_(hear_peers()),
       sync_thread_(sync_thread()),
       store_(*folder_, store_options(config), sync_thread_.get()),
-      list_memory_(
-          store_.facts(), config.known, store_.clock().now(),
-          [this](const std::string& key, const std::string& value) { return store_.keep(key, value); }),
+      list_memory_(store_.facts(), config.known, store_.clock().now(),
+                   [this](const std::string& key, const std::string& value) { return keep(key, value); }),
       known_(list_memory_.known(config.known)),
-      recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits}),
+      recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits},
+                store_.clock().now()),
       dispatcher_(config.settings, config.seed),
       calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
       platform_(
@@ -117,6 +117,7 @@
   }
   for (const auto& m : config.known.members) destinations_.insert(m.endpoint.destination);
   events_.push_back(event::ListWhole{endpoints_of(known_), true});
+  for (const auto& key : recalled_.outdated()) store_.keep(key, {});
   store_.on_sync([this] { synced(); });
   recall();
   HERONVANE_POINT("recover.taken-back");
@@ -135,6 +136,8 @@
   if (!s.peers || !config_.peer_listen) return nullptr;
   return std::make_unique<Peers>(io_, *config_.peer_listen, config_.peers, config_.peers_all, s.rank,
                                  [this](int from, std::string body) {
+                                   // They would pile up while the module is not asked; any may be lost.
+                                   if (unwritten_ || frozen_) return;
                                    happened(event::PeerNote{from, std::move(body)});
                                  });
 }
@@ -320,8 +323,14 @@
   const auto& own = config_.own.store;
   if (!own.keep_health && !own.keep_waits) return;
   const Time now = store_.clock().now();
-  for (const auto& memory : dispatcher_.learned(last_round_, kMostTargets))
-    keep(target_key(memory.endpoint), memory.blank() ? std::string() : write_target(memory, now));
+  // The rest is for endpoints that drain or are gone: these bind.
+  constexpr unsigned kTargetPart = 50;
+  for (const auto& memory : dispatcher_.learned(last_round_, kMostTargets)) {
+    const std::string key = target_key(memory.endpoint);
+    const std::string value = memory.blank() ? std::string() : write_target(memory, now);
+    // Better nothing than what is not so any more.
+    if (!store_.keep(key, value, kTargetPart)) store_.keep(key, {});
+  }
 }
 
 void Relay::schedule() {
@@ -461,17 +470,20 @@
     }
     schedule();  // what came meanwhile is decided on now
   }
-  if (!store_.trouble().empty()) retry_later();
   carry_out();
+  // Their records may stand after all, so nothing is promised.
+  if (store_.sync_hangs()) turn_away(outbox_.take_answers(), 504);
+  if (!store_.trouble().empty() || !outbox_.empty()) retry_later();
 }
 
 // Nothing that was planned goes as it was planned: by the time the store can be written the module is asked
 // anew.
 void Relay::not_written() {
   unwritten_ = true;
-  // Their clients wait only so long: what stands in no record was not taken on.
   HERONVANE_POINT("not-written");
-  turn_away(outbox_.take_answers(), 503);
+  // Their clients wait only so long: what stands in no record was not taken on. Others wait for their sync.
+  turn_away(outbox_.take_unwritten_answers(), 503);
+  if (store_.sync_hangs()) turn_away(outbox_.take_answers(), 504);
   outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
   retry_later();
 }
@@ -524,9 +536,9 @@
   const Time now = store_.clock().now();
   std::erase_if(messages, [&](Outgoing& m) {
     const Held* const held = store_.find(m.id);
-    // It may have waited for its records.
+    // It may have waited for its records, and its message have been given up meanwhile.
     if (held != nullptr) m.timeout = std::min(m.timeout, held->message.deadline - now);
-    if (held != nullptr && m.timeout > 0) return false;
+    if (held != nullptr && !held->ending && m.timeout > 0) return false;
     take_back(endpoint, m);
     return true;
   });
@@ -558,7 +570,7 @@
   net::post(io_, [this] {
     const auto step = store_.compact();
     compacting_ = step == store::Store::Step::blocked;
-    if (step == store::Store::Step::more) compact();
+    if (step == store::Store::Step::more) return compact();
     if (!compacting_) return;
     // Guards against a full disk that keeps a core busy.
     compact_timer_.expires_after(kCompactRetry);
@@ -588,7 +600,11 @@
 
 void Relay::check_drained() {
   const Time since = steady_now() - stop_at_;
-  if (!frozen_ && since >= kDrainSend) frozen_ = true;
+  if (since >= kDrainSend && !std::exchange(frozen_, true)) {
+    // What waits for its records would go too late for its answer to come home.
+    outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
+    settle();
+  }
   const bool home = calls_.out() == 0 && (frozen_ || store_.held().empty());
   const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
   if (since >= kDrainMost || (home && quiet && !unwritten_ && outbox_.empty())) {
--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -51,13 +51,20 @@
 
 std::string Store::trouble() const {
   if (!failure_.empty()) return failure_;
+  if (!sync_failure_.empty()) return sync_failure_;
   if (reserve_short_) return "no room on the volume for the records of what is held";
   if (over_limit())
     return "its files hold " + std::to_string(used_) + " bytes, more than the limit of " +
            std::to_string(options_.limit_bytes);
+  if (sync_hangs()) return "a sync of the disk takes long";
   return {};
 }
 
+bool Store::sync_hangs() const {
+  constexpr Time kLongSync = 3'000'000;
+  return syncing_ && clock_.now() - sync_began_ > kLongSync;
+}
+
 // Where the limit was lowered under what is there, its records may still be written; as files go, that room
 // goes with them.
 void Store::lower_ceiling() {
@@ -116,12 +123,14 @@
   }
 }
 
-bool Store::keep(const std::string& key, const std::string& value) {
+bool Store::keep(const std::string& key, const std::string& value, unsigned part) {
   const auto it = facts().find(key);
   if (it == facts().end() ? value.empty() : it->second == value) return true;
   const std::uint64_t bytes = key.size() + value.size();
+  const std::uint64_t before = it == facts().end() ? 0 : key.size() + it->second.size();
+  const std::uint64_t most = options_.limit_bytes / 100 * kFactShare * part / 100;
   if (!value.empty() &&
-      (bytes > kMostFact || table_.fact_bytes() + bytes > options_.limit_bytes / 100 * kFactShare))
+      (bytes > kMostFact || (bytes > before && table_.fact_bytes() - before + bytes > most)))
     return false;
   const record::Fact r{key, value};
   add(r);
@@ -135,7 +144,7 @@
     booked_.ids -= over_bytes(forgotten.id);
     ledger_.forget_id(forgotten.number);
   }
-  if (!rewrite_.empty() && !write_again()) return false;
+  if (!rewrite_.empty() && (now < sync_again_ || !write_again())) return false;
   // Room that the volume did not have for what is held is asked for again.
   if (reserve_short_) ensure_reserve(booked_.later);
   if (pending_.empty() && failure_.empty()) return true;
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -98,8 +98,9 @@
   // Nothing is owed any more. Its id is remembered where that is asked for and `was_told`: its client knows
   // that it was taken on.
   void over(MessageId number, bool was_told = true);
-  // Other things to keep, by key; false where their share of the disk is used up. An empty value drops it.
-  bool keep(const std::string& key, const std::string& value);
+  // Other things to keep, by key; false where their share of the disk is used up, or `part` percent of it. An
+  // empty value drops it.
+  bool keep(const std::string& key, const std::string& value, unsigned part = 100);
 
   // Writes what was added, all or nothing; false where the disk won't take it now: it is kept for the next
   // commit.
@@ -118,6 +119,8 @@
 
   // Why nothing is taken on, until it mends by itself; empty where all is well.
   std::string trouble() const;
+  // A sync takes so long that nobody should wait for it.
+  bool sync_hangs() const;
   std::uint64_t bytes() const { return used_; }  // of all files
   std::uint64_t limit() const { return options_.limit_bytes; }
   const std::map<SegmentNumber, Ledger::Segment>& segments() const { return ledger_.segments(); }
@@ -145,6 +148,7 @@
     Sequence after = 0;
     bool set_aside = false;
     bool gone = false;  // its file; what the ledger knows of it follows in steps
+    bool told = false;  // that its file can't be removed
   };
 
   // recovery.cpp
@@ -161,6 +165,7 @@
   std::error_code roll();
   void written(Batch& batch, std::vector<Note>& notes);
   void seal();
+  void discard(SegmentNumber number);
   bool ensure_reserve(std::uint64_t later);
   void release_reserve();
   void sync();
@@ -177,9 +182,11 @@
   Step move_step();
   Step doom(SegmentNumber number);
   Step finish_doomed();
-  bool remove_file(const Doomed& doomed);
+  bool remove_file(Doomed& doomed);
 
-  bool troubled() const { return !failure_.empty() || reserve_short_ || over_limit(); }
+  bool troubled() const {
+    return !failure_.empty() || !sync_failure_.empty() || reserve_short_ || over_limit() || sync_hangs();
+  }
   // Past this nothing more is taken on or moved: else a stuck disk would fill the memory, and a failed sync
   // leave no room to write all of it once more.
   bool much_unsynced() const { return unsynced_bytes_ > segment_bytes(options_.limit_bytes); }
@@ -214,7 +221,8 @@
   FileId reserve_ = -1;
   std::uint64_t reserve_bytes_ = 0;
   bool reserve_short_ = false, reserve_off_ = false;
-  std::string failure_;  // of the last write; empty where it went well
+  std::string failure_;       // of the last write; empty where it went well
+  std::string sync_failure_;  // of the last sync
 
   std::optional<Victim> victim_;
   std::vector<Doomed> doomed_;
@@ -222,6 +230,8 @@
 
   Sequence synced_ = 0;
   bool syncing_ = false, folder_dirty_ = false;
+  Time sync_began_ = 0, sync_again_ = 0;
+  Time sync_pause_ = 0;  // after the next one that fails
   std::map<SegmentNumber, Sequence>
       unsynced_segments_;                   // where each that was begun since the last sync begins
   std::vector<FileId> unsynced_files_;      // that are not written to any more
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint64_t kReserveStep = 64 * 1024;
+constexpr Time kFirstPause = 50'000, kMostPause = 2'000'000;  // after failed syncs, until the next
 constexpr std::size_t kSegmentHead = 256;  // more than the first record takes, but for its list of others
 constexpr std::size_t kOtherBytes = sizeof(SegmentNumber) + sizeof(Sequence);
 
@@ -33,13 +34,16 @@
     }
     const bool full = active_ && active_->size >= segment_bytes(options_.limit_bytes);
     const bool large = active_ && active_->size + batch.bytes() > 2 * segment_bytes(options_.limit_bytes);
-    bad = !active_ || full || large ? roll() : std::error_code{};
+    const bool begins = !active_ || full || large;
+    bad = begins ? roll() : std::error_code{};
+    const bool begun = begins && !bad;
     if (!bad) bad = try_write(batch, batch.stamped(next_));
     if (!bad) {
       written(batch, notes);
       if (!std::exchange(failure_, {}).empty()) options_.log("store: written again");
       return true;
     }
+    if (begun && !active_) discard(last_number_);
     if (bad != std::errc::no_space_on_device || reserve_bytes_ == 0) break;
     release_reserve();
     reserve_short_ = true;
@@ -80,6 +84,20 @@
   active_.reset();
 }
 
+// Begun and sealed within one write: nothing counts in it. Each try would else leave one, until the limit is
+// reached.
+void Store::discard(SegmentNumber number) {
+  if (options_.durability == Durability::machine) {
+    disk_.close(unsynced_files_.back());
+    unsynced_files_.pop_back();
+  }
+  if (disk_.remove(name_of(number))) return;
+  used_ -= on_disk(ledger_.segments().at(number).bytes);
+  unsynced_segments_.erase(number);
+  ledger_.forget_segment(number);
+  names_.erase(number);
+}
+
 std::error_code Store::roll() {
   record::Segment head;
   head.number = last_number_ + 1;
@@ -170,7 +188,7 @@
 // One sync at a time; what is written meanwhile waits for the next, with all that came with it.
 void Store::sync() {
   if (syncing_ || !rewrite_.empty() || synced_ == next_ - 1) return;
-  syncing_ = true;
+  syncing_ = true, sync_began_ = clock_.now();
   const Sequence upto = next_ - 1;
   const bool folder = std::exchange(folder_dirty_, false);
   auto closing = std::exchange(unsynced_files_, {});
@@ -189,7 +207,12 @@
   if (bad) {
     // What such a file holds is not known any more, also to a later sync that succeeds: all of it is written
     // once more, elsewhere.
-    failed("can't be synced: " + bad.message());
+    if (sync_failure_.empty())
+      options_.log("store: can't be synced: " + bad.message() + "; taking nothing on until it can be");
+    sync_failure_ = "can't be synced: " + bad.message();
+    // Guards against a disk that fails for long, and is given all of it again and again.
+    sync_again_ = clock_.now() + sync_pause_;
+    sync_pause_ = std::clamp(2 * sync_pause_, kFirstPause, kMostPause);
     mark_sync_failed();
     folder_dirty_ = folder_dirty_ || folder;
     if (active_) {
@@ -202,6 +225,8 @@
     rewrite_ = std::exchange(unsynced_, {});
     unsynced_bytes_ = 0;
   } else {
+    if (!std::exchange(sync_failure_, {}).empty()) options_.log("store: synced again");
+    sync_pause_ = 0;
     synced_ = upto;
     std::erase_if(unsynced_segments_, [upto](const auto& s) { return s.second <= upto; });
     while (!unsynced_.empty() && unsynced_.front().last <= upto) {
@@ -228,6 +253,12 @@
     if (bad) return;
     used_ -= on_disk(segment->second.bytes);
     ledger_.emptied(it->first);
+    // The name too: a disk that fails for long would else fill the folder with empty files.
+    if (disk_.remove(name_of(it->first))) continue;
+    folder_dirty_ = true;
+    if (victim_ && victim_->number == it->first) victim_.reset();
+    ledger_.forget_segment(it->first);
+    names_.erase(it->first);
   }
 }
 
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -97,6 +97,25 @@
   EXPECT_EQ(facts.all.count("endpoint/e0"), 1u) << "known names it";
   EXPECT_EQ(facts.all.count("endpoint/e9"), 1u);
 }
+// What is kept is what is known, also where the newest one is the one to make room.
+TEST(ListMemory, WhatMadeRoomForItselfIsNotKept) {
+  Facts facts;
+  facts.most = 2;
+  ListMemory m(facts.all, list(1, true, {{"a", kReady}, {"b", kReady}}), kNow, facts.keep());
+  m.gone("a", 1, kHere, kNow), m.gone("b", 2, kHere, kNow), m.gone("c", 3, kHere, kNow);
+  EXPECT_EQ(m.size(), 2u);
+  EXPECT_EQ(facts.all.count("endpoint/a"), 1u);
+  EXPECT_EQ(facts.all.count("endpoint/b"), 1u);
+}
+// A discovery that began to count anew must not keep an endpoint from use for ever.
+TEST(ListMemory, OlderListsAreNoNewsForAnHourAtMost) {
+  Facts facts;
+  ListMemory m(facts.all, {}, kNow, facts.keep());
+  m.told(list(500, false, {{"a", kDraining}}), kHere, kNow);
+  EXPECT_EQ(said(m.told(list(3, false, {{"a", kReady}}), kHere, kNow + kHour)), (Said{{"a", kDraining}}));
+  EXPECT_EQ(said(m.told(list(3, false, {{"a", kReady}}), kHere, kNow + kHour + 1)), (Said{{"a", kReady}}));
+  EXPECT_TRUE(facts.all.empty());
+}
 TEST(ListMemory, UnreadableFactsAreDropped) {
   Facts facts;
   facts.all = {{"endpoint/a", "what"}, {"endpoint/b", ""}, {"other", "x"}};
@@ -125,7 +144,7 @@
   const std::map<std::string, std::string> facts = {{target_key("a"), write_target(m, kNow)}};
   const Time later = kNow + 8'000'000;
   const auto wait = [&](Time gap, RecalledTargets::Which which) -> Time {
-    const auto r = RecalledTargets(facts, which).take("a", later, gap);
+    const auto r = RecalledTargets(facts, which, later).take("a", later, gap);
     return r ? r->memory.wait_left - r->age : -1;
   };
   EXPECT_EQ(wait(0, {true, true}), 2'000'000);
@@ -134,6 +153,21 @@
   EXPECT_EQ(wait(0, {false, true}), 2'000'000);
 }
 
+// Of endpoints that went while no relay ran nobody would ever drop it.
+TEST(TargetMemory, WhatWasNotSeenForAWeekIsOutdated) {
+  cedarplank::TargetMemory m;
+  m.health = Health::closed;
+  const auto text = write_target(m, kNow);
+  const std::map<std::string, std::string> facts = {{target_key("a"), text}, {target_key("b"), "what"}};
+  const RecalledTargets soon(facts, {true, true}, kNow + 7 * 24 * kHour);
+  EXPECT_EQ(soon.size(), 1u);
+  EXPECT_EQ(soon.outdated(), std::vector<std::string>{target_key("b")});
+  const RecalledTargets late(facts, {true, true}, kNow + 7 * 24 * kHour + 1);
+  EXPECT_EQ(late.size(), 0u);
+  EXPECT_EQ(late.outdated(), (std::vector<std::string>{target_key("a"), target_key("b")}));
+  EXPECT_EQ(RecalledTargets(facts, {false, false}, kNow).size(), 0u);
+}
+
 #ifdef HERONVANE_SETTINGS_FILE
 TEST(OperatorSettings, AreReadAndTheirErrorsNameThePlace) {
   const auto s = read_operator_settings(
