fleet: the agent's decisions: plans, records, convergence, steps of operations

The agent needs its decisions apart from processes and sockets, so that every interleaving can be tried. Commands are judged against recorded rows, one record is out at a time, and actions come out once it stands.

--- /dev/null
+++ b/fleet/commands.cpp
@@ -0,0 +1,121 @@
+#include <algorithm>
+#include <utility>
+
+#include "state.hpp"
+
+namespace heronvane::fleet {
+namespace {
+
+using Work = Step::Work;
+
+void tell(std::vector<Action>& actions, RequestId request, Verdict verdict) {
+  actions.push_back(action::Tell{request, std::move(verdict)});
+}
+
+}  // namespace
+
+bool Decider::State::take(Time now, const event::Command& command, Actions& actions) {
+  auto result = plan(kept, command, tuning.instances_most);
+  if (auto* refusal = std::get_if<Verdict>(&result)) {
+    tell(actions, command.request, std::move(*refusal));
+    return false;
+  }
+  auto& made = std::get<Plan>(result);
+  made.operation.created = now;
+  if (command.dry_run) {
+    tell(actions, command.request, verdict::Plan{std::move(made.operation)});
+    return false;
+  }
+  accept(now, command, std::move(made));
+  return true;
+}
+
+void Decider::State::accept(Time now, const event::Command& command, Plan made) {
+  Operation operation = std::move(made.operation);
+  const OperationId id = ++working.last_operation;
+  const Generation generation = ++working.generation;
+  dirty_counts = true;
+  operation.id = id;
+  operation.generation = generation;
+  operation.created = now;
+  for (OperationId earlier : made.supersedes) {
+    Operation& other = edit(earlier);
+    other.superseded_by = id;
+    end_early(now, other, OperationState::superseded);
+  }
+  if (command.fleet && (command.kind == Kind::apply || command.kind == Kind::rollback)) {
+    working.fleet = *command.fleet;
+    dirty_fleet = true;
+    for (const InstanceSpec& spec : working.fleet.instances) {
+      auto at = working.instances.find(spec.name);
+      if (at == working.instances.end()) continue;
+      auto listen = spec.own.find("listen");
+      const std::string where = listen == spec.own.end() ? "" : listen->second;
+      // What an earlier change wanted and did not bring about is wanted no more.
+      if (at->second.listen == where && at->second.wanted == at->second.config) continue;
+      InstanceRow& row = edit(spec.name);
+      row.listen = where;
+      if (row.config != 0) row.wanted = row.config;
+    }
+  }
+  for (Step& step : operation.steps) {
+    step.since = now;
+    if (step.state == StepState::skipped) continue;
+    InstanceRow& row = edit(step.instance);
+    row.name = step.instance;
+    row.changed = generation;
+    if (step.work == Work::add || (step.work == Work::restart && command.kind != Kind::restart) ||
+        step.work == Work::rewrite) {
+      row.wanted = generation;
+    }
+    if (step.work == Work::add) {
+      for (const InstanceSpec& spec : working.fleet.instances) {
+        if (spec.name != step.instance) continue;
+        auto listen = spec.own.find("listen");
+        row.listen = listen == spec.own.end() ? "" : listen->second;
+      }
+    }
+  }
+  edit(id) = std::move(operation);
+  asker = command.request;
+  hooks.push_back([this, id, request = command.request](Time, Actions& actions) {
+    tell(actions, request, verdict::Accepted{kept.operations.at(id)});
+  });
+}
+
+// What is begun is left to become what its rows desire; the operation judges it no more.
+void Decider::State::end_early(Time now, Operation& operation, OperationState state) {
+  operation.state = state;
+  operation.ended = now;
+  for (Step& step : operation.steps) {
+    if (step.state == StepState::waiting) {
+      step.state = StepState::skipped;
+    } else if (step.state == StepState::acting) {
+      step.state = StepState::failed;
+      step.what = "left as it was begun";
+    } else {
+      continue;
+    }
+    step.since = now;
+  }
+}
+
+bool Decider::State::take(Time now, const event::Cancel& cancel, Actions& actions) {
+  auto at = kept.operations.find(cancel.operation);
+  if (at == kept.operations.end()) {
+    tell(actions, cancel.request, verdict::Unknown{std::to_string(cancel.operation)});
+    return false;
+  }
+  if (at->second.state != OperationState::running) {
+    tell(actions, cancel.request, verdict::Ended{at->second});
+    return false;
+  }
+  end_early(now, edit(cancel.operation), OperationState::cancelled);
+  asker = cancel.request;
+  hooks.push_back([this, cancel](Time, Actions& done) {
+    tell(done, cancel.request, verdict::Accepted{kept.operations.at(cancel.operation)});
+  });
+  return true;
+}
+
+}  // namespace heronvane::fleet
--- a/fleet/decider.hpp
+++ b/fleet/decider.hpp
@@ -351,7 +351,7 @@
   Time loop_within = 60'000'000;    // ... in this time are told as looping
   Time stalled_after = 3'000'000;   // no answer of its admin socket
   Time stalled_kill = 10'000'000;   // then ended by SIGKILL; in an operation's step at stalled_after
-  Time first_answer = 10'000'000;   // an instance that starts may take so long to answer first
+  Time first_answer = 30'000'000;   // of one that starts: reading its store may take long
   Time ready_within = 30'000'000;   // a step fails where its instance is not ready by then
   int step_crashes = 3;             // or crashed so often
   Time term_grace = 5'000'000;      // from SIGTERM to SIGKILL
--- /dev/null
+++ b/fleet/plan.cpp
@@ -0,0 +1,231 @@
+#include "plan.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace heronvane::fleet {
+namespace {
+
+using Work = Step::Work;
+
+const InstanceSpec* find(const FleetSpec& fleet, std::string_view name) {
+  auto at = std::find_if(fleet.instances.begin(), fleet.instances.end(),
+                         [&](const InstanceSpec& spec) { return spec.name == name; });
+  return at == fleet.instances.end() ? nullptr : &*at;
+}
+
+// FNV-1a; the length goes in first, so that no two lists of parts run into each other.
+void mix(std::uint64_t& hash, std::string_view text) {
+  auto byte = [&](std::uint64_t value) { hash = (hash ^ (value & 0xff)) * 0x100000001b3ULL; };
+  for (int shift = 0; shift < 32; shift += 8) byte(text.size() >> shift);
+  for (char c : text) byte(static_cast<unsigned char>(c));
+}
+
+void differing(const std::string& whose, const Parts& before, const Parts& after,
+               std::vector<std::string>& lines) {
+  for (const auto& [part, value] : before) {
+    auto at = after.find(part);
+    if (at == after.end()) {
+      lines.push_back("~ " + whose + part + " " + value + " -> none");
+    } else if (at->second != value) {
+      lines.push_back("~ " + whose + part + " " + value + " -> " + at->second);
+    }
+  }
+  for (const auto& [part, value] : after) {
+    if (!before.contains(part)) lines.push_back("~ " + whose + part + " none -> " + value);
+  }
+}
+
+std::optional<std::string> malformed(const FleetSpec& fleet, std::size_t most) {
+  if (fleet.max_unavailable < 1) return "max_unavailable must be 1 or more";
+  if (fleet.instances.size() > most) return "more than " + std::to_string(most) + " instances";
+  std::set<std::string_view> names;
+  for (const InstanceSpec& spec : fleet.instances) {
+    if (!valid_name(spec.name))
+      return "instance name `" + spec.name.substr(0, 80) + "`: 1 to 64 of a-z 0-9 -";
+    if (!names.insert(spec.name).second) return "two instances are named " + spec.name;
+  }
+  return std::nullopt;
+}
+
+Step step(std::string name, Work work) {
+  Step made;
+  made.instance = std::move(name);
+  made.work = work;
+  return made;
+}
+
+// Instances that come are first, so that what runs is touched only once they are ready; those that go are
+// last.
+void plan_apply(const Durable& kept, const FleetSpec& fleet, Operation& operation) {
+  std::vector<Step> changed;
+  for (const InstanceSpec& spec : fleet.instances) {
+    auto at = kept.instances.find(spec.name);
+    const InstanceSpec* before = find(kept.fleet, spec.name);
+    if (at == kept.instances.end() || at->second.removing ||
+        (at->second.config == 0 && at->second.run.empty() && at->second.desired == Desired::stopped)) {
+      operation.steps.push_back(step(spec.name, Work::add));
+      if (!before) operation.diff.push_back("+ " + spec.name);
+    } else if (at->second.digest != config_digest(fleet, spec.name)) {
+      changed.push_back(
+          step(spec.name, at->second.desired == Desired::running ? Work::restart : Work::rewrite));
+      if (before && config_digest(kept.fleet, spec.name) == config_digest(fleet, spec.name)) {
+        operation.diff.push_back("~ " + spec.name + " still has the configuration of generation " +
+                                 std::to_string(at->second.config));
+      }
+    }
+    if (before) differing(spec.name + ": ", before->own, spec.own, operation.diff);
+  }
+  std::move(changed.begin(), changed.end(), std::back_inserter(operation.steps));
+  for (const auto& [name, row] : kept.instances) {
+    if (find(fleet, name)) continue;
+    operation.steps.push_back(step(name, Work::remove));
+    operation.diff.push_back("- " + name);
+  }
+  differing("", kept.fleet.common, fleet.common, operation.diff);
+  differing("", kept.fleet.loose, fleet.loose, operation.diff);
+  if (kept.fleet.max_unavailable != fleet.max_unavailable) {
+    operation.diff.push_back("~ max_unavailable " + std::to_string(kept.fleet.max_unavailable) + " -> " +
+                             std::to_string(fleet.max_unavailable));
+  }
+}
+
+// Why it can't be done to that instance; empty: it can. `all` passes over what was put aside on purpose.
+std::string obstacle(Kind kind, const InstanceRow& row, bool all) {
+  if (row.removing) return "goes out of the fleet";
+  switch (kind) {
+    case Kind::up:
+      if (row.desired == Desired::drained) return "is drained: undrain it";
+      break;
+    case Kind::undrain:
+      if (row.desired == Desired::stopped) return "is stopped: bring it up";
+      break;
+    case Kind::restart:
+      if (row.desired == Desired::drained) return "is drained: undrain it";
+      if (row.desired == Desired::stopped) return "is stopped: bring it up";
+      break;
+    case Kind::drain:
+      if (all && row.desired == Desired::stopped) return "is stopped";
+      break;
+    case Kind::down:
+    case Kind::apply:
+    case Kind::rollback:
+      break;
+  }
+  return "";
+}
+
+Work work(Kind kind) {
+  switch (kind) {
+    case Kind::up:
+      return Work::start;
+    case Kind::down:
+      return Work::stop;
+    case Kind::drain:
+      return Work::drain;
+    case Kind::undrain:
+      return Work::undrain;
+    case Kind::restart:
+    case Kind::apply:
+    case Kind::rollback:
+      break;
+  }
+  return Work::restart;
+}
+
+}  // namespace
+
+bool valid_name(std::string_view name) {
+  return !name.empty() && name.size() <= 64 && std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+}
+
+std::string config_digest(const FleetSpec& fleet, std::string_view name) {
+  const InstanceSpec* spec = find(fleet, name);
+  if (!spec) return "";
+  std::uint64_t hash = 0xcbf29ce484222325ULL;
+  for (const Parts* parts : {&fleet.common, &spec->own}) {
+    for (const auto& [part, value] : *parts) {
+      mix(hash, part);
+      mix(hash, value);
+    }
+    mix(hash, "");
+  }
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(hash));
+  return text;
+}
+
+std::variant<Plan, Verdict> plan(const Durable& kept, const event::Command& command,
+                                 std::size_t instances_most) {
+  const bool whole = command.kind == Kind::apply || command.kind == Kind::rollback;
+  if (command.max_unavailable && *command.max_unavailable < 1) {
+    return verdict::Malformed{"max_unavailable must be 1 or more"};
+  }
+  if (command.by.size() > 256) return verdict::Malformed{"`by` is longer than 256 characters"};
+  Plan made;
+  Operation& operation = made.operation;
+  operation.kind = command.kind;
+  operation.by = command.by;
+  std::set<std::string> touched;
+  std::vector<std::string> stale;
+  if (whole) {
+    if (!command.fleet && command.kind == Kind::apply) return verdict::Malformed{"no fleet is given"};
+    if (!command.fleet) {
+      return verdict::Refused{"no fleet of generation " + std::to_string(command.to) + " is recorded"};
+    }
+    if (auto why = malformed(*command.fleet, instances_most)) return verdict::Malformed{*why};
+    plan_apply(kept, *command.fleet, operation);
+    if (command.kind == Kind::rollback) operation.message = "to generation " + std::to_string(command.to);
+    operation.max_unavailable = command.max_unavailable.value_or(command.fleet->max_unavailable);
+    for (const Step& s : operation.steps) touched.insert(s.instance);
+  } else {
+    std::set<std::string> names(command.names.begin(), command.names.end());
+    if (command.all) {
+      names.clear();
+      for (const auto& [name, row] : kept.instances) names.insert(name);
+    } else if (names.empty()) {
+      return verdict::Malformed{"no instance is named"};
+    }
+    for (const std::string& name : names) {
+      if (!valid_name(name)) return verdict::Malformed{"instance name `" + name.substr(0, 80) + "`"};
+      if (!kept.instances.contains(name)) return verdict::Unknown{name};
+    }
+    operation.max_unavailable = command.max_unavailable.value_or(
+        command.kind == Kind::restart ? std::max(1, kept.fleet.max_unavailable) : 0);
+    for (const std::string& name : names) {
+      const InstanceRow& row = kept.instances.find(name)->second;
+      Step s = step(name, work(command.kind));
+      s.what = obstacle(command.kind, row, command.all);
+      if (!s.what.empty()) s.state = StepState::skipped;
+      if (s.what.empty() || !command.all) touched.insert(name);
+      if (command.against && row.changed > *command.against) stale.push_back(name);
+      operation.steps.push_back(std::move(s));
+    }
+  }
+
+  for (const auto& [id, other] : kept.operations) {
+    if (other.state != OperationState::running) continue;
+    verdict::Conflict conflict{id, other.kind, other.by, other.created, {}};
+    for (const Step& s : other.steps) {
+      if (!ended(s.state) && touched.contains(s.instance)) conflict.names.push_back(s.instance);
+    }
+    // Two changes of the fleet itself are never under way together, whatever they touch.
+    const bool both = whole && (other.kind == Kind::apply || other.kind == Kind::rollback);
+    if (conflict.names.empty() && !both) continue;
+    if (!command.supersede) return conflict;
+    made.supersedes.insert(id);
+  }
+  if (command.against && (*command.against > kept.generation ||
+                          (whole && *command.against != kept.generation) || !stale.empty())) {
+    return verdict::Stale{kept.generation, stale};
+  }
+  for (const Step& s : operation.steps) {
+    if (s.state == StepState::skipped && !command.all) return verdict::Refused{s.instance + " " + s.what};
+  }
+  return made;
+}
+
+}  // namespace heronvane::fleet
