--- a/fleet/converge.cpp
+++ b/fleet/converge.cpp
@@ -75,7 +75,7 @@
     row.drain_kept = true;
     if (row.desired != Desired::running) {
       row.ended_drained = true;
-    } else if (*end.drained >= row.fence) {
+    } else if (*end.drained > row.fence) {
       // Someone else drained it, later than any operation of this agent: it stays ended.
       row.desired = Desired::drained;
       row.ended_drained = true;
