--- a/fleet/commands.cpp
+++ b/fleet/commands.cpp
@@ -69,6 +69,7 @@
       row.wanted = generation;
     }
     if (step.work == Work::add) {
+      row.removing = false;  // else its row could go before the step begins
       for (const InstanceSpec& spec : working.fleet.instances) {
         if (spec.name != step.instance) continue;
         auto listen = spec.own.find("listen");
--- a/fleet/decider.cpp
+++ b/fleet/decider.cpp
@@ -36,6 +36,7 @@
   kept = working;
   for (const auto& [id, operation] : kept.operations) {
     if (operation.state != OperationState::running) continue;
+    note_open_steps(operation);
     for (const Step& step : operation.steps) {
       // Of a removed one the row goes before its step is done.
       if (fleet::ended(step.state) || kept.instances.contains(step.instance) ||
@@ -103,8 +104,18 @@
   actions.push_back(action::Log{"awake after " + std::to_string(slept / 1'000'000) + " s"});
 }
 
+void Decider::State::drive_instance(Time now, const std::string& name, Actions& actions) {
+  woken.insert(name);
+  drive(now, actions);
+}
+
+void Decider::State::drive_all(Time now, Actions& actions) {
+  woken_all = true;
+  drive(now, actions);
+}
+
 // One round of decisions, where no record is out. What it decides is one transaction.
-void Decider::State::drive(Time now, Actions& actions, const std::string* only) {
+void Decider::State::drive(Time now, Actions& actions) {
   if (out) return;
   bool recording = false;
   while (!queue.empty() && !recording) {
@@ -114,16 +125,24 @@
   }
   if (recording || now >= record_from) {
     begun.clear();
-    std::vector<OperationId> running;
-    for (const auto& [id, operation] : kept.operations) {
-      if (operation.state == OperationState::running &&
-          working.operations.at(id).state == OperationState::running) {
-        running.push_back(id);
+    const bool all = std::exchange(woken_all, false);
+    const std::set<std::string> names = std::exchange(woken, {});
+    std::set<OperationId> operations = std::exchange(woken_operations, {});
+    for (const std::string& name : names) {
+      if (auto at = open_steps.find(name); at != open_steps.end()) operations.insert(at->second.first);
+    }
+    if (all) {
+      for (const auto& [name, at] : open_steps) operations.insert(at.first);
+      // One without open steps has but to end.
+      for (const auto& [id, operation] : kept.operations) {
+        if (operation.state == OperationState::running) operations.insert(id);
       }
     }
     auto each = [&](auto&& what) {
-      if (only && running.empty() && !recording) {
-        if (working.instances.contains(*only)) what(*only);
+      if (!all) {
+        for (const std::string& name : names) {
+          if (working.instances.contains(name)) what(name);
+        }
         return;
       }
       for (auto at = working.instances.begin(); at != working.instances.end();) {
@@ -133,16 +152,19 @@
       }
     };
     each([&](const std::string& name) { absorb(now, name); });
-    for (OperationId id : running) drive_operation(now, id);
-    index_acting();
+    for (OperationId id : operations) {
+      auto recorded = kept.operations.find(id);
+      if (recorded == kept.operations.end() || recorded->second.state != OperationState::running) continue;
+      if (working.operations.at(id).state == OperationState::running) drive_operation(now, id);
+    }
     each([&](const std::string& name) { converge(now, name); });
   }
-  if (dirty_rows.empty() && dirty_operations.empty() && !dirty_fleet && !dirty_counts) {
-    std::vector<Hook> now_due = std::move(hooks);
-    hooks.clear();
-    for (Hook& hook : now_due) hook(now, actions);
-    return;
-  }
+  if (!dirty_rows.empty() || !dirty_operations.empty() || dirty_fleet || dirty_counts) return record(actions);
+  const std::vector<Hook> due = std::exchange(hooks, {});
+  for (const Hook& hook : due) hook(now, actions);
+}
+
+void Decider::State::record(Actions& actions) {
   action::Record record;
   record.record = ++last_record;
   record.generation = working.generation;
@@ -161,6 +183,18 @@
   actions.push_back(std::move(record));
 }
 
+void Decider::State::note_open_steps(const Operation& operation) {
+  for (std::size_t i = 0; i < operation.steps.size(); ++i) {
+    const Step& step = operation.steps[i];
+    if (operation.state == OperationState::running && !fleet::ended(step.state)) {
+      open_steps[step.instance] = {operation.id, i};
+      continue;
+    }
+    auto at = open_steps.find(step.instance);
+    if (at != open_steps.end() && at->second.first == operation.id) open_steps.erase(at);
+  }
+}
+
 void Decider::State::commit(Time now, Actions& actions) {
   out = false;
   record_from = 0;
@@ -177,7 +211,14 @@
       seen[name];
     }
   }
-  for (OperationId id : dirty_operations) kept.operations.insert_or_assign(id, working.operations.at(id));
+  // The superseded first: what superseded them has the higher id.
+  for (OperationId id : dirty_operations) {
+    const Operation& operation = working.operations.at(id);
+    note_open_steps(operation);
+    kept.operations.insert_or_assign(id, operation);
+  }
+  woken.merge(dirty_rows);
+  woken_operations.insert(dirty_operations.begin(), dirty_operations.end());
   const std::set<OperationId> changed = std::move(dirty_operations);
   dirty_operations.clear();
   dirty_rows.clear();
@@ -219,6 +260,7 @@
   asker.reset();
   if (record_from == 0) actions.push_back(action::Log{"nothing is done before it can be recorded: " + why});
   record_from = now + tuning.record_again;
+  woken_all = true;
 }
 
 // Ended operations beyond the last ones; the database has them.
@@ -273,7 +315,7 @@
   s.pending = s.spawn_out = false;
   s.end = std::move(end);
   note_phase(now, name);
-  drive(now, actions, &name);
+  drive_instance(now, name, actions);
 }
 
 void Decider::State::on(Time now, const event::Command& e, Actions& actions) {
@@ -311,7 +353,7 @@
   if (!s) return;
   s->spawn_out = false;
   s->pid = e.pid;
-  drive(now, actions, &e.name);
+  drive_instance(now, e.name, actions);
 }
 
 void Decider::State::on(Time now, const event::SpawnFailed& e, Actions& actions) {
@@ -337,7 +379,7 @@
   s->new_run(now);
   s->pending = false;
   s->pid = e.pid;
-  drive(now, actions, &e.name);
+  drive_instance(now, e.name, actions);
 }
 
 void Decider::State::on(Time now, const event::StatusSeen& e, Actions& actions) {
@@ -354,7 +396,7 @@
   }
   if (e.fence > kept.instances.find(e.name)->second.fence) s->fenced = std::max(s->fenced, e.fence);
   note_phase(now, e.name);
-  drive(now, actions, &e.name);
+  drive_instance(now, e.name, actions);
 }
 
 void Decider::State::on(Time now, const event::StatusMissed& e, Actions& actions) {
@@ -362,7 +404,7 @@
   if (!s || s->pending) return;
   s->missed = true;
   note_phase(now, e.name);
-  drive(now, actions, &e.name);
+  drive_instance(now, e.name, actions);
 }
 
 void Decider::State::on(Time now, const event::Answered& e, Actions& actions) {
@@ -374,20 +416,19 @@
   if (e.result == event::Answered::Result::fenced && e.highest > kept.instances.find(e.name)->second.fence) {
     s->fenced = std::max(s->fenced, e.highest);
   }
-  drive(now, actions, &e.name);
+  drive_instance(now, e.name, actions);
 }
 
 void Decider::State::on(Time now, const event::FolderGone& e, Actions& actions) {
   auto at = kept.instances.find(e.name);
   if (at == kept.instances.end() || !at->second.live) return;
   seen[e.name].folder_gone = true;
-  drive(now, actions, &e.name);
+  drive_instance(now, e.name, actions);
 }
 
 void Decider::State::on(Time now, const event::TimerDue&, Actions& actions) {
   if (now >= timer_at) timer_at = 0;
-  for (const auto& [name, row] : kept.instances) note_phase(now, name);
-  drive(now, actions);
+  drive_all(now, actions);
 }
 
 // ---- the outside
@@ -419,35 +460,19 @@
     view.oldest_ms = s.status->oldest_ms;
     view.generation = s.status->generation;
   }
+  if (auto at = open_steps.find(row.name); at != open_steps.end()) view.operation = at->second.first;
   return view;
 }
 
 std::optional<InstanceView> Decider::instance(std::string_view name) const {
   auto at = state_->kept.instances.find(name);
   if (at == state_->kept.instances.end()) return std::nullopt;
-  InstanceView view = state_->view(at->second);
-  for (const auto& [id, operation] : state_->kept.operations) {
-    if (operation.state != OperationState::running) continue;
-    for (const Step& step : operation.steps) {
-      if (step.instance == name && !ended(step.state)) view.operation = id;
-    }
-  }
-  return view;
+  return state_->view(at->second);
 }
 
 std::vector<InstanceView> Decider::instances() const {
-  std::map<std::string_view, OperationId> at_work;
-  for (const auto& [id, operation] : state_->kept.operations) {
-    if (operation.state != OperationState::running) continue;
-    for (const Step& step : operation.steps) {
-      if (!ended(step.state)) at_work[step.instance] = id;
-    }
-  }
   std::vector<InstanceView> views;
-  for (const auto& [name, row] : state_->kept.instances) {
-    views.push_back(state_->view(row));
-    if (auto at = at_work.find(name); at != at_work.end()) views.back().operation = at->second;
-  }
+  for (const auto& [name, row] : state_->kept.instances) views.push_back(state_->view(row));
   return views;
 }
 
--- a/fleet/state.hpp
+++ b/fleet/state.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -84,19 +85,29 @@
   bool dirty_counts = false;
   std::vector<Hook> hooks;  // run once it stands
   std::optional<RequestId> asker;
-  Time record_from = 0;                                          // after a failed one
-  std::map<std::string, const Step*, std::less<>> acting_steps;  // of this round
+  Time record_from = 0;         // after a failed one
   std::set<std::string> begun;  // steps begun in this round: they act once that stands
 
+  // What is to be looked at in the next round; all where something may be due anywhere.
+  bool woken_all = true;
+  std::set<std::string> woken;
+  std::set<OperationId> woken_operations;
+  // Steps not ended of running operations, as recorded: one of an instance at most.
+  std::map<std::string, std::pair<OperationId, std::size_t>, std::less<>> open_steps;
+
   Time timer_at = 0;
 
   void handle(Time now, const Event& event, Actions& actions);
   void wake(Time now, Actions& actions);
-  void drive(Time now, Actions& actions, const std::string* only = nullptr);  // only: nothing else is due
+  void drive(Time now, Actions& actions);
+  void record(Actions& actions);
+  void drive_instance(Time now, const std::string& name, Actions& actions);
+  void drive_all(Time now, Actions& actions);
+  void note_open_steps(const Operation& operation);
   void commit(Time now, Actions& actions);
   void revert(Time now, const std::string& why, Actions& actions);
   void set_timer(Time now, Actions& actions);
-  InstanceView view(const InstanceRow& row) const;  // without its operation
+  InstanceView view(const InstanceRow& row) const;
   void note_phase(Time now, const std::string& name);
   void forget();
   InstanceRow& edit(const std::string& name);
@@ -148,8 +159,7 @@
   bool reached(Time now, const InstanceRow& row, const Step& step) const;
   void begin_what_may(Time now, OperationId id);
   void finish_step(Time now, OperationId id, std::size_t index, StepState state, std::string what);
-  void index_acting();
-  const Step* acting(const std::string& name) const;  // as indexed: the step that acts on it, or nullptr
+  const Step* acting(const std::string& name) const;  // the step that acts on it, or nullptr
   bool available(Time now, const InstanceRow& row) const;
 };
 
--- a/fleet/steps.cpp
+++ b/fleet/steps.cpp
@@ -29,19 +29,12 @@
          !s.status->draining && !stalled(now, s);
 }
 
-void Decider::State::index_acting() {
-  acting_steps.clear();
-  for (const auto& [id, operation] : working.operations) {
-    if (operation.state != OperationState::running) continue;
-    for (const Step& step : operation.steps) {
-      if (step.state == StepState::acting) acting_steps[step.instance] = &step;
-    }
-  }
-}
-
 const Step* Decider::State::acting(const std::string& name) const {
-  auto at = acting_steps.find(name);
-  return at == acting_steps.end() ? nullptr : at->second;
+  auto at = open_steps.find(name);
+  if (at == open_steps.end()) return nullptr;
+  const Operation& operation = working.operations.at(at->second.first);
+  const Step& step = operation.steps[at->second.second];
+  return operation.state == OperationState::running && step.state == StepState::acting ? &step : nullptr;
 }
 
 void Decider::State::drive_operation(Time now, OperationId id) {
--- a/tests/fleet/interleavings_test.cpp
+++ b/tests/fleet/interleavings_test.cpp
@@ -62,6 +62,8 @@
     Desired desired = Desired::stopped;
     OperationId by = 0;
     Generation changed = 0;
+    bool removing = false;
+    bool perhaps_anew = false;  // it went, and came back without being begun; or had not gone yet
   };
   std::map<std::string, Model> model;
   Generation generation = 0;
@@ -87,10 +89,13 @@
           step.state == StepState::skipped && step.what != "not begun" && step.what.empty() == false;
       if (!passed_over) m.changed = generation;
       if (step.work == Step::Work::add) gone.erase(step.instance);  // its row is there though it never began
+      if (step.work == Step::Work::add && m.removing) m.perhaps_anew = true;
       if (step.state == StepState::skipped || step.work == Step::Work::rewrite) continue;
       if (step.what.starts_with("takes effect") || step.what.starts_with("is ")) continue;
       m.desired = desired_by(step.work);
       m.by = id;
+      m.removing = step.work == Step::Work::remove;
+      m.perhaps_anew = false;
       if (step.work == Step::Work::remove && step.state == StepState::done) {
         gone.insert(step.instance);
         model.erase(step.instance);
@@ -102,6 +107,7 @@
   EXPECT_EQ(world.database.generation, generation);
   for (const auto& [name, row] : world.database.instances) {
     EXPECT_FALSE(gone.contains(name)) << name;
+    if (model[name].perhaps_anew && row.fence == 0 && row.desired == Desired::stopped) continue;
     EXPECT_EQ(row.fence, model[name].by)
         << name << " was last acted on by another than the last that was accepted";
     EXPECT_EQ(word(row.desired), word(model[name].desired)) << name << ": its last change was lost";
