Tests of the fleet: refusals are held against what was so when they were told

The order of the ids explained what was accepted and what instances end as; conflict and stale were only counted. A conflict must name an operation that ran between question and answer, stale one that changed the instance.

--- a/tests/fleet/interleavings_test.cpp
+++ b/tests/fleet/interleavings_test.cpp
@@ -2,6 +2,7 @@
 // dying agent: one order, that of the ids, explains every answer and what each instance ends as.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include "world.hpp"
@@ -56,6 +57,51 @@
   return Desired::running;
 }
 
+bool passed_over(const Step& step) {
+  return step.state == StepState::skipped && !step.what.empty() && step.what != "not begun";
+}
+
+// Each refusal names what was so between the question and the answer; ids ascend as they are told.
+void explained_refusals(const World& world) {
+  OperationId last = 0;
+  for (const auto& [request, verdict] : world.told) {
+    auto at = world.asked.find(request);
+    if (at == world.asked.end()) continue;  // a cancel
+    const event::Command& command = at->second;
+    if (auto* yes = std::get_if<verdict::Accepted>(&verdict)) {
+      EXPECT_GT(yes->operation.id, last);
+      last = yes->operation.id;
+      EXPECT_GE(yes->operation.created, world.sent_at.at(request));
+      EXPECT_LE(yes->operation.created, world.told_at.at(request));
+    }
+    if (auto* conflict = std::get_if<verdict::Conflict>(&verdict)) {
+      EXPECT_FALSE(command.supersede);
+      auto with = world.database.operations.find(conflict->with);
+      ASSERT_NE(with, world.database.operations.end());
+      EXPECT_LE(with->second.created, world.told_at.at(request));
+      EXPECT_TRUE(with->second.ended == 0 || with->second.ended + second >= world.sent_at.at(request))
+          << "a conflict with what had ended";
+      for (const std::string& name : conflict->names) {
+        EXPECT_TRUE(std::any_of(with->second.steps.begin(), with->second.steps.end(),
+                                [&](const Step& step) { return step.instance == name; }));
+      }
+    }
+    if (auto* stale = std::get_if<verdict::Stale>(&verdict)) {
+      ASSERT_TRUE(command.against);
+      EXPECT_LT(*command.against, stale->generation);
+      for (const std::string& name : stale->names) {
+        bool changed = false;
+        for (const auto& [id, operation] : world.database.operations) {
+          if (operation.generation <= *command.against || operation.generation > stale->generation) continue;
+          for (const Step& step : operation.steps)
+            changed = changed || (step.instance == name && !passed_over(step));
+        }
+        EXPECT_TRUE(changed) << name << " is told stale and has not changed since";
+      }
+    }
+  }
+}
+
 // The commands as the ids order them, on a model that knows of no time.
 void explained_by_one_order(const World& world) {
   struct Model {
@@ -85,9 +131,7 @@
     generation = operation.generation;
     for (const Step& step : operation.steps) {
       Model& m = model[step.instance];
-      const bool passed_over =
-          step.state == StepState::skipped && step.what != "not begun" && step.what.empty() == false;
-      if (!passed_over) m.changed = generation;
+      if (!passed_over(step)) m.changed = generation;
       if (step.work == Step::Work::add) gone.erase(step.instance);  // its row is there though it never began
       if (step.work == Step::Work::add && m.removing) m.perhaps_anew = true;
       if (step.state == StepState::skipped || step.work == Step::Work::rewrite) continue;
@@ -112,14 +156,7 @@
         << name << " was last acted on by another than the last that was accepted";
     EXPECT_EQ(word(row.desired), word(model[name].desired)) << name << ": its last change was lost";
   }
-  for (const auto& [request, verdict] : world.verdicts) {
-    if (auto* conflict = std::get_if<verdict::Conflict>(&verdict)) {
-      EXPECT_TRUE(world.database.operations.contains(conflict->with));
-    }
-    if (auto* stale = std::get_if<verdict::Stale>(&verdict)) {
-      EXPECT_LE(stale->generation, world.database.generation);
-    }
-  }
+  explained_refusals(world);
 }
 
 // What happened, for whoever looks at a failure.
--- a/tests/fleet/world.cpp
+++ b/tests/fleet/world.cpp
@@ -96,7 +96,8 @@
   command.request = ++requests_;
   if (command.kind == Kind::rollback && !command.fleet && database.fleet(command.to))
     command.fleet = *database.fleet(command.to);
-  asked_[command.request] = command;
+  asked[command.request] = command;
+  sent_at[command.request] = now;
   if (decider_) give(command);
   return command.request;
 }
@@ -397,7 +398,7 @@
 }
 
 template <class Ask>
-void World::asked(const Ask& a, Call call) {
+void World::call(const Ask& a, Call call) {
   const InstanceRow* r = row(a.name);
   expect(r && r->fence == a.fence, "a call to " + a.name + " with another fence than recorded");
   at(now + some(ms), [this, life = life_, a, call] {
@@ -426,19 +427,19 @@
   note("drain " + a.name);
   expect(row(a.name) && row(a.name)->desired == Desired::drained,
          "AskDrain of " + a.name + " not as recorded");
-  asked(a, Call::drain);
+  call(a, Call::drain);
 }
 
 void World::act(const action::AskUndrain& a) {
   note("undrain " + a.name);
   expect(row(a.name) && row(a.name)->desired == Desired::running,
          "AskUndrain of " + a.name + " not as recorded");
-  asked(a, Call::undrain);
+  call(a, Call::undrain);
 }
 
 void World::act(const action::AskFence& a) {
   note("fence " + a.name);
-  asked(a, Call::fence);
+  call(a, Call::fence);
 }
 
 void World::act(const action::Removed& a) {
@@ -460,9 +461,10 @@
   if (auto* yes = std::get_if<verdict::Accepted>(&a.verdict)) {
     auto recorded = database.operations.find(yes->operation.id);
     expect(recorded != database.operations.end(), "Accepted before its record stands");
-    if (asked_.contains(a.request)) accepted[yes->operation.id] = asked_[a.request];
+    if (asked.contains(a.request)) accepted[yes->operation.id] = asked[a.request];
   }
   verdicts[a.request] = a.verdict;
+  told_at[a.request] = now;
   told.emplace_back(a.request, a.verdict);
 }
 
@@ -477,13 +479,13 @@
 }
 
 OperationId World::ask(Kind kind, std::vector<std::string> names, std::optional<int> max_unavailable) {
-  event::Command asked;
-  asked.kind = kind;
-  asked.all = names.empty();
-  asked.names = std::move(names);
-  asked.by = "user@host pid 1";
-  asked.max_unavailable = max_unavailable;
-  const RequestId request = command(asked);
+  event::Command said;
+  said.kind = kind;
+  said.all = names.empty();
+  said.names = std::move(names);
+  said.by = "user@host pid 1";
+  said.max_unavailable = max_unavailable;
+  const RequestId request = command(said);
   until([&] { return verdict(request) != nullptr; }, 10 * second);
   const Verdict* told_it = verdict(request);
   auto* yes = told_it ? std::get_if<verdict::Accepted>(told_it) : nullptr;
@@ -491,11 +493,11 @@
 }
 
 OperationId World::apply(const FleetSpec& fleet) {
-  event::Command asked;
-  asked.kind = Kind::apply;
-  asked.by = "user@host pid 1";
-  asked.fleet = fleet;
-  const RequestId request = command(asked);
+  event::Command said;
+  said.kind = Kind::apply;
+  said.by = "user@host pid 1";
+  said.fleet = fleet;
+  const RequestId request = command(said);
   until([&] { return verdict(request) != nullptr; }, 10 * second);
   const Verdict* told_it = verdict(request);
   auto* yes = told_it ? std::get_if<verdict::Accepted>(told_it) : nullptr;
--- a/tests/fleet/world.hpp
+++ b/tests/fleet/world.hpp
@@ -81,6 +81,8 @@
   std::vector<std::string> broken;    // rules that were broken
   std::map<RequestId, Verdict> verdicts;
   std::vector<std::pair<RequestId, Verdict>> told;  // in their order
+  std::map<RequestId, Time> sent_at, told_at;
+  std::map<RequestId, event::Command> asked;
   std::map<OperationId, event::Command> accepted;
   std::vector<std::string> trace;  // actions that act, and
   std::vector<Time> trace_at;      // when
@@ -143,7 +145,7 @@
   void act(const action::OperationChanged&) {}
   void act(const action::Log&) {}
   template <class Ask>
-  void asked(const Ask& a, Call call);
+  void call(const Ask& a, Call call);
   void start_draining(const std::string& name);
   void check_rows();
   void check_done(const Step& step);
@@ -168,7 +170,6 @@
   RecordId last_record_ = 0;
   std::uint64_t timer_ = 0;
   RequestId requests_ = 0;
-  std::map<RequestId, event::Command> asked_;
   int pids_ = 100;
 };
 
