--- a/fleet/decider.cpp
+++ b/fleet/decider.cpp
@@ -300,8 +300,7 @@
   actions.push_back(action::SetTimer{at});
 }
 
-// ---- what is seen
-// ------------------------------------------------------------------------------------------
+// ---- what is seen ----
 
 Seen* Decider::State::process(const std::string& name, const std::string& run) {
   auto at = kept.instances.find(name);
@@ -431,8 +430,7 @@
   drive_all(now, actions);
 }
 
-// ---- the outside
-// -------------------------------------------------------------------------------------------
+// ---- the outside ----
 
 Decider::Decider(Restored state, std::uint64_t seed, Tuning tuning)
     : state_(std::make_unique<State>(std::move(state), seed, tuning)) {}
--- a/fleet/decider.hpp
+++ b/fleet/decider.hpp
@@ -74,8 +74,7 @@
   std::string text;                     // as applied; opaque, only kept and given back
 };
 
-// ---- rows that last
-// ----------------------------------------------------------------------------------------
+// ---- rows that last ----
 
 struct InstanceRow {
   std::string name;
@@ -130,8 +129,7 @@
   std::vector<Operation> operations;  // all that run, and of the ended at least the last 200 where there are
 };
 
-// ---- events
-// ------------------------------------------------------------------------------------------------
+// ---- events ----
 
 namespace event {
 // A change is asked for. Ends in exactly one Tell.
@@ -228,8 +226,7 @@
                  event::SpawnFailed, event::Exited, event::StatusSeen, event::StatusMissed, event::Answered,
                  event::Adopted, event::NotFound, event::FolderGone, event::TimerDue>;
 
-// ---- actions
-// -----------------------------------------------------------------------------------------------
+// ---- actions ----
 
 // How a request ended.
 namespace verdict {
@@ -340,8 +337,7 @@
                             action::AskDrain, action::AskUndrain, action::AskFence, action::Removed,
                             action::SetTimer, action::Tell, action::OperationChanged, action::Log>;
 
-// ---- the decider
-// -------------------------------------------------------------------------------------------
+// ---- the decider ----
 
 struct Tuning {
   Time backoff_first = 500'000;     // before a crashed instance starts again, doubling, with jitter
--- a/tests/fleet/interleavings_test.cpp
+++ b/tests/fleet/interleavings_test.cpp
@@ -263,7 +263,8 @@
   for (const auto& [state, count] : tally.ends)
     std::printf("%s %d, ", std::string(word(state)).c_str(), count);
   std::printf("starts %d, kills of the agent %d, acts %d\n", tally.starts, tally.kills, tally.acts);
-  for (std::size_t index : {0, 1, 2, 3, 5, 7, 9}) EXPECT_GT(tally.verdicts[index], 20) << verdicts[index];
+  for (std::size_t index : {0U, 1U, 2U, 3U, 5U, 7U, 9U})
+    EXPECT_GT(tally.verdicts[index], 20) << verdicts[index];
   for (OperationState state : {OperationState::done, OperationState::failed, OperationState::cancelled,
                                OperationState::superseded}) {
     EXPECT_GT(tally.ends[state], 20) << word(state);
