--- a/tests/fleet/killed_test.cpp
+++ b/tests/fleet/killed_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <ostream>
 
 #include "world.hpp"
 
@@ -16,6 +17,8 @@
   int starts;  // processes that the operation may start at each instance
 };
 
+void PrintTo(const Case& what, std::ostream* out) { *out << what.name; }
+
 FleetSpec changed_fleet() {
   FleetSpec fleet = fleet_of({"n0", "n1", "n3"});
   fleet.instances[1].own["listen"] = "127.0.0.1:9000";
