--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -271,6 +271,11 @@
   // endpoints. Costs what has changed, not what is listed. Changes no decision.
   std::vector<TargetMemory> learned(Time now, std::size_t most);
 
+  // For an observer: what is known now of each endpoint that is listed, in the order of the destinations.
+  // Those of which nothing is known (blank) are left out once `most` entries are in `known`; all others
+  // once there are four times as many. Changes nothing.
+  void targets(Time now, std::size_t most, std::vector<TargetMemory>& known) const;
+
   // How many endpoints, destinations, messages, order keys, calls and changes to give out are kept: a gauge
   // of memory.
   std::size_t kept() const;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -593,6 +593,20 @@
       if (next < kNever) give_by(*e, next);
     }
   }
+  // Costs what is listed, little where nothing is known of it.
+  void targets(Time at, std::size_t most, std::vector<TargetMemory>& known) const {
+    for (const auto& [id, d] : destinations)
+      for (const EndpointState* e : d.endpoints) {
+        if (e->info.listing == Listing::gone || e->info.destination != id) continue;
+        const Target& t = e->apart ? e->own : d.target;
+        const bool blank = e->health == Health::open && t.wait_until <= at && t.delay == 0 &&
+                           t.pace == kUnbounded && t.let_through >= 1;
+        if (known.size() >= (blank ? most : 4 * most)) continue;
+        TargetMemory& m = known.emplace_back(memory_of(*e, t));
+        // As of the last round, but for what runs off by itself.
+        m.wait_left = std::max<Time>(0, t.wait_until - std::max(at, now));
+      }
+  }
   void on(const event::TargetRecalled& ev) {
     const auto it = endpoints.find(ev.memory.endpoint);
     if (it == endpoints.end() || it->second.info.listing == Listing::gone) return;
@@ -1086,6 +1100,10 @@
   return state_->learned(now, most);
 }
 
+void Dispatcher::targets(Time now, std::size_t most, std::vector<TargetMemory>& known) const {
+  state_->targets(now, most, known);
+}
+
 void Dispatcher::handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
   state_->handle(now, events, actions);
 }
