Relay: command line, admin socket, true drain, waking from a stop

Many relays managed as one need each to say what it is and holds, to be drained without loss, and to tell an overtaken operation from the newest. All of it is off without a settings file.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -92,8 +92,13 @@
   Time connect_due(const CallLimits& limits) const { return sent + limits.connect_timeout; }
 };
 
-Calls::Calls(net::io_context& io, const CallLimits& limits, Ended ended)
-    : io_(io), limits_(limits), ended_(std::move(ended)), odd_(io, "odd answers"), sweep_timer_(io) {}
+Calls::Calls(net::io_context& io, const CallLimits& limits, Ended ended, MayBegin may_begin)
+    : io_(io),
+      limits_(limits),
+      ended_(std::move(ended)),
+      may_begin_(std::move(may_begin)),
+      odd_(io, "odd answers"),
+      sweep_timer_(io) {}
 Calls::~Calls() = default;
 
 void Calls::locate(const EndpointId& endpoint, const tcp::endpoint& address) {
@@ -168,6 +173,8 @@
 }
 
 void Calls::write(const std::shared_ptr<Call>& call) {
+  // What hears of this may have ended the call already.
+  if (!may_begin_()) return call->stage == Call::Stage::done ? void() : end_all(call, Outcome::not_sent);
   // Those that ended while the connection came up stay out of the call.
   std::vector<Outgoing> live;
   Time longest = 0;
@@ -375,6 +382,11 @@
       end_all(call, Outcome::not_sent);
 }
 
+void Calls::hold_back_all() {
+  for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
+    if (call->stage == Call::Stage::connecting) end_all(call, Outcome::not_sent);
+}
+
 void Calls::keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
   const auto found = places_.find(endpoint);
   if (found == places_.end()) return;
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -44,7 +44,10 @@
  public:
   using Ended = std::function<void(const cedarplank::event::AttemptEnded&)>;
 
-  Calls(boost::asio::io_context& io, const CallLimits& limits, Ended ended);
+  // Asked right before a call begins; where it says no the call ends as not sent.
+  using MayBegin = std::function<bool()>;
+
+  Calls(boost::asio::io_context& io, const CallLimits& limits, Ended ended, MayBegin may_begin);
   ~Calls();
 
   // Where an endpoint is found; kept connections to another address are closed.
@@ -56,6 +59,7 @@
   void close_idle(const EndpointId& endpoint);
   // Ends, as not sent, the calls to an endpoint of which no byte has gone out.
   void hold_back(const EndpointId& endpoint);
+  void hold_back_all();
 
   std::size_t out() const { return out_.size(); }
 
@@ -87,6 +91,7 @@
   boost::asio::io_context& io_;
   CallLimits limits_;
   Ended ended_;
+  MayBegin may_begin_;
   Tally odd_;
   std::array<char, 16 * 1024> chunk_{};  // what was read last
   boost::asio::steady_timer sweep_timer_;
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -19,16 +19,18 @@
 // Descriptors that are no connections of clients or to endpoints: standard streams, the event loop, signals,
 // the store's files, discovery, datagrams, the one that listens; one that is turned away.
 constexpr std::size_t kOtherFiles = 24;
+// The admin socket's: the one that listens, its connections, one that is turned away.
+constexpr std::size_t kAdminFiles = 10;
 
 boost::asio::ip::udp::endpoint udp(const std::string& text, const std::string& path) {
   const auto address = read_address(text, path);
   return {address.address(), address.port()};
 }
 
-std::string environment(const char* name) {
-  const char* value = std::getenv(name);
-  if (value == nullptr || *value == '\0') throw std::runtime_error(std::string(name) + ": not set");
-  return value;
+std::string option_or_variable(const std::string& option, const char* variable) {
+  if (!option.empty()) return option;
+  const char* value = std::getenv(variable);
+  return value == nullptr ? "" : value;
 }
 
 std::uint64_t whole_above_zero(const Value& v, const std::string& path) {
@@ -78,18 +80,41 @@
   c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
   if (const Value* report = find(settings, "Report"))
     c.reports_in_answers = get(*report, "How", path + ".settings.Report", as_text, "none") == "answers";
+  c.generation = get(v, "generation", path, as_integer, std::int64_t{0});
+  if (c.generation < 0) malformed(path + ".generation", "must not be negative");
   if (const Value* known = find(v, "known")) c.known = read_members(*known, path + ".known", c.names);
   return c;
 }
 
-Config load_config() {
-  const std::string file = environment("LB_CONFIG");
-  std::ifstream in(file, std::ios::binary);
-  if (!in) throw std::runtime_error("LB_CONFIG: can't read " + file);
+Places find_places(const CommandLine& options) {
+  return {option_or_variable(options.config, "LB_CONFIG"), option_or_variable(options.state, "LB_STATE"),
+          option_or_variable(options.settings, "HERONVANE_SETTINGS")};
+}
+
+Config load_config(const Places& places) {
+  if (places.config.empty())
+    throw std::runtime_error(
+        "no configuration: name its file by --config FILE or LB_CONFIG; --help lists all options");
+  std::ifstream in(places.config, std::ios::binary);
+  if (!in) throw std::runtime_error("configuration: can't read " + places.config);
   Config c = read_config({std::istreambuf_iterator<char>(in), {}});
-  c.state_folder = environment("LB_STATE");
-  c.own = load_operator_settings();
+  c.state_folder = places.state;
+  c.own = load_operator_settings(places.settings);
+  if (c.own.admin.socket) {
+    c.client_connections -= kAdminFiles / 2, c.endpoint_connections -= kAdminFiles / 2;
+    c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
+  }
   return c;
 }
 
+std::string summary(const Config& c, const Places& places) {
+  const auto text = [](const boost::asio::ip::tcp::endpoint& e) {
+    return e.address().to_string() + ":" + std::to_string(e.port());
+  };
+  return "name " + c.name + ", listens at " + text(c.listen) + ", discovery at " + text(c.discovery) + ", " +
+         std::to_string(c.settings.classes.size()) + " classes, " + std::to_string(c.known.members.size()) +
+         " endpoints known, generation " + std::to_string(c.generation) + ", settings " +
+         (places.settings.empty() ? "none" : places.settings);
+}
+
 }  // namespace heronvane
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cedarplank/dispatcher.hpp"
+#include "command_line.hpp"
 #include "members.hpp"
 #include "operator_settings.hpp"
 #include "settings.hpp"
@@ -27,6 +28,7 @@
   cedarplank::Settings settings;
   cedarplank::adapter::Tables names;
   bool reports_in_answers = false;
+  std::int64_t generation = 0;  // of the agent's desired state that it was written for; 0: none
   MemberList known;
   OperatorSettings own;
 };
@@ -34,7 +36,16 @@
 // Throws std::exception whose text names the field that can't be read.
 Config read_config(const std::string& json);
 
-// The file that LB_CONFIG names, with LB_STATE for the folder that lasts and the operator's settings.
-Config load_config();
+// Where it is told: options, else the environment's variables.
+struct Places {
+  std::string config, state, settings;  // paths; empty: none is named
+};
+Places find_places(const CommandLine& options);
+
+// All that is told at the start; `state` may be empty. Throws std::exception whose text names the field, or
+// says what is missing.
+Config load_config(const Places& places);
+// What stands in it, for an operator.
+std::string summary(const Config& config, const Places& places);
 
 }  // namespace heronvane
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -37,6 +37,7 @@
   void drain();
   // Whether a request is being read or answered.
   bool busy() const;
+  std::size_t clients() const { return sessions_.size(); }  // connections
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
  private:
--- a/relay/operator_settings.cpp
+++ b/relay/operator_settings.cpp
@@ -1,6 +1,5 @@
 #include "operator_settings.hpp"
 
-#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
@@ -85,6 +84,7 @@
 
 OperatorSettings read_operator_settings(const std::string& text, const std::string& file) {
   OperatorSettings s;
+  s.relay.wake = true;
   toml::table all;
   try {
     all = toml::parse(text, file);
@@ -95,16 +95,24 @@
   for (const auto& [key, node] : all) {
     const std::string name(key.str());
     const auto* table = node.as_table();
-    if (name != "store" || table == nullptr)
+    const bool known = name == "admin" || name == "relay" || name == "store";
+    if (!known || table == nullptr)
       throw std::runtime_error(file + ":" + std::to_string(node.source().begin.line) + ": " + name +
-                               ": is no section; known is: store");
+                               ": is no section; known are: admin, relay, store");
     Section section(*table, name, file);
-    section.word("durability",
-                 {{"process", store::Durability::process}, {"machine", store::Durability::machine}},
-                 s.store.durability);
-    section.flag("keep_health", s.store.keep_health);
-    section.flag("keep_waits", s.store.keep_waits);
-    section.seconds("remember_window_s", 86'400'000'000, s.store.remember_window);
+    if (name == "admin") {
+      section.flag("socket", s.admin.socket);
+      section.flag("drain", s.admin.drain);
+    } else if (name == "relay") {
+      section.flag("wake", s.relay.wake);
+    } else {
+      section.word("durability",
+                   {{"process", store::Durability::process}, {"machine", store::Durability::machine}},
+                   s.store.durability);
+      section.flag("keep_health", s.store.keep_health);
+      section.flag("keep_waits", s.store.keep_waits);
+      section.seconds("remember_window_s", 86'400'000'000, s.store.remember_window);
+    }
     section.done();
   }
   return s;
@@ -116,11 +124,10 @@
 }
 #endif
 
-OperatorSettings load_operator_settings() {
-  const char* const file = std::getenv("HERONVANE_SETTINGS");
-  if (file == nullptr || *file == '\0') return {};
+OperatorSettings load_operator_settings(const std::string& file) {
+  if (file.empty()) return {};
   std::ifstream in(file, std::ios::binary);
-  if (!in) throw std::runtime_error(std::string("HERONVANE_SETTINGS: can't read ") + file);
+  if (!in) throw std::runtime_error("settings: can't read " + file);
   return read_operator_settings({std::istreambuf_iterator<char>(in), {}}, file);
 }
 
--- a/relay/operator_settings.hpp
+++ b/relay/operator_settings.hpp
@@ -1,5 +1,6 @@
 // Settings that belong to the operator of an installation, not to the platform: the TOML file that
-// HERONVANE_SETTINGS names (deploy/heronvane.toml lists them all). Without one all stands as given here.
+// --settings or HERONVANE_SETTINGS names (deploy/heronvane.toml lists them all). Without one all stands as
+// given here.
 #pragma once
 
 #include <string>
@@ -16,12 +17,19 @@
     bool keep_waits = false;            // waits that endpoints told; PROTOCOL lets a restart end them
     Time remember_window = 10'000'000;  // ids of messages that are over, past their deadlines
   } store;
+  struct Admin {
+    bool socket = false;  // FOLDER/admin.sock
+    bool drain = false;   // drains may be asked for, and end the process
+  } admin;
+  struct Relay {
+    bool wake = false;  // look at the list anew after a stop; true where a file is read that does not say
+  } relay;
 };
 
 // Throws std::runtime_error naming `file`, the line and the key that can't be read, or is none.
 OperatorSettings read_operator_settings(const std::string& text, const std::string& file);
 
-// The file that HERONVANE_SETTINGS names; the defaults where it names none.
-OperatorSettings load_operator_settings();
+// The file; the defaults where `file` is empty.
+OperatorSettings load_operator_settings(const std::string& file);
 
 }  // namespace heronvane
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <utility>
 
 #include "answer.hpp"
 #include "log.hpp"
@@ -75,6 +76,14 @@
 // ---- The list. ----
 void Platform::watch() { following_ = true, ask(true); }
 void Platform::fetch() { ask(false); }
+void Platform::refresh(std::function<void()> done) {
+  refreshed_ = std::move(done);
+  drop(fetch_);
+  fetch();
+}
+void Platform::refreshed() {
+  if (const auto done = std::exchange(refreshed_, nullptr)) done();
+}
 void Platform::unwatch() { following_ = false, drop(watch_); }
 
 void Platform::drop(std::shared_ptr<Query>& query) {
@@ -162,6 +171,7 @@
           log("discovery: list: can't be read");
           failed_();
         }
+        refreshed();
       });
 }
 
@@ -210,6 +220,7 @@
   if (fetch_ == query) fetch_.reset();
   if (whole_due_) index_ = 0;  // the next watch asks for all again
   failed_();
+  if (!query->follow) refreshed();
 }
 
 // ---- Notices. ----
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -30,6 +30,9 @@
   void watch();  // changes from now on; `failed` tells its end
   void unwatch();
   void fetch();  // the whole list, once
+  // Asks for the whole list anew, whatever is under way; `done` once it has come, or has failed to.
+  void refresh(std::function<void()> done);
+  std::int64_t index() const { return index_; }  // of the list told last
   // Discovery is found elsewhere from now on: what is under way at the old address begins again at the new
   // one.
   void move(const boost::asio::ip::tcp::endpoint& address);
@@ -47,6 +50,7 @@
   bool lines(Query& query);
   bool line(const std::string& text, bool follow);
   void end(const std::shared_ptr<Query>& query, const std::string& why);
+  void refreshed();
   void guard(const std::shared_ptr<Query>& query);
   void post();
   void read(const std::shared_ptr<Post>& post);
@@ -61,6 +65,7 @@
   Failed failed_;
   Noticed noticed_;
   std::shared_ptr<Query> watch_, fetch_;
+  std::function<void()> refreshed_;        // waits for the list
   std::map<MessageId, std::string> owed_;  // notices, as lines
   std::shared_ptr<Post> post_;             // the one under way
   std::shared_ptr<boost::asio::ip::tcp::socket> kept_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -82,12 +82,14 @@
 
 }  // namespace
 
-Relay::Relay(net::io_context& io, const Config& config)
+Relay::Relay(net::io_context& io, const Config& config, Start start)
     : io_(io),
       config_(config),
+      start_(std::move(start)),
       folder_(store::open_folder(config.state_folder)),
       listener_(listening(io, config.listen)),
       peers_(hear_peers()),
+      admin_(open_admin()),
       sync_thread_(sync_thread()),
       store_(*folder_, store_options(config), sync_thread_.get()),
       list_memory_(
@@ -96,7 +98,9 @@
       known_(list_memory_.known(config.known)),
       recalled_(store_.facts(), {config.own.store.keep_health, config.own.store.keep_waits}),
       dispatcher_(config.settings, config.seed),
-      calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
+      calls_(
+          io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); },
+          [this] { return turned(); }),
       platform_(
           io, config.discovery, config.names, config.known.index,
           [this](MemberList list) { listed(std::move(list)); }, [this] { happened(event::ListFailed{}); },
@@ -105,6 +109,11 @@
             settle();
           }),
       recent_(longest_deadline(config.settings)),
+      drain_(read_drain(store_.facts())),
+      generation_(config.generation),
+      beat_timer_(io),
+      wake_timer_(io),
+      drained_timer_(io),
       round_timer_(io),
       module_timer_(io),
       stall_timer_(io),
@@ -117,6 +126,7 @@
   for (const auto& m : config.known.members) destinations_.insert(m.endpoint.destination);
   events_.push_back(event::ListWhole{endpoints_of(known_), true});
   store_.on_sync([this] { synced(); });
+  start_drained();
   recall();
   recover();
   intake_.emplace(
@@ -124,6 +134,8 @@
       IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
       [this](Message m, Time left, Reply reply) { arrive(std::move(m), left, std::move(reply)); },
       [this] { return ready(); });
+  beat();
+  look_drained();
   log("listening as " + config.name);
 }
 
@@ -151,6 +163,7 @@
   const Time now = store_.clock().now();
   for (const auto& [id, held] : store_.held()) {
     numbers_[held.message.id] = id;
+    if (admin_) gauge_.taken(id, held.message.message_class, held_since(held));
     if (held.ending) {
       platform_.notice(id, held.message.id, *held.ending);
       continue;
@@ -191,7 +204,7 @@
 
 bool Relay::ready() const {
   const auto active = [](const auto& entry) { return entry.second.listing == Listing::active; };
-  return !stopping_ && !unwritten_ && store_.trouble().empty() &&
+  return !stopping_ && !drain_.drain && !unwritten_ && store_.trouble().empty() &&
          std::any_of(endpoints_.begin(), endpoints_.end(), active);
 }
 
@@ -204,6 +217,7 @@
   // must not be sent again either.
   if (numbers_.count(message.id) > 0 || store_.remembers(message.id) || recent_.has(message.id))
     return reply({202, 0});
+  if (drain_.drain) return reply({503, kComeBack});
   // Before discovery has told its list, an unknown destination may only be unknown yet.
   if (destinations_.count(message.destination) == 0)
     return list_told_ ? reply({404, 0, "unknown destination"}) : reply({503, kComeBack});
@@ -332,6 +346,7 @@
 // ---- The round. ----
 void Relay::round() {
   round_due_ = false;
+  if (!turned()) return;
   last_round_ = steady_now();
   Plan plan;
   for (auto& a : std::exchange(arrived_, {})) {
@@ -339,6 +354,7 @@
     numbers_[a.message.id] = id;
     events_.push_back(arrival(id, a.message));
     unanswered_[id] = std::move(a.reply);
+    if (admin_) gauge_.taken(id, a.message.message_class, store_.clock().now());
     store_.take(id, std::move(a.message));
   }
   if (!frozen_ && !unwritten_) {
@@ -420,6 +436,7 @@
   if (held == nullptr) return;
   const std::string client_id = held->message.id;
   numbers_.erase(client_id);
+  gauge_.over(id);
   store_.over(id, was_taken_on);
   if (was_taken_on && !store_.remembers(client_id)) recent_.add(client_id, steady_now());
 }
@@ -561,6 +578,7 @@
 void Relay::reconfigure(const Config& config) {
   log("configuration read again: discovery at " + text_of(config.discovery));
   platform_.move(config.discovery);
+  generation_ = config.generation;
 }
 
 // ---- The end. ----
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -17,9 +17,14 @@
 #include "calls.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
+#include "core/drain.hpp"
+#include "core/held_gauge.hpp"
 #include "core/list_memory.hpp"
 #include "core/outbox.hpp"
+#include "core/status.hpp"
 #include "core/target_memory.hpp"
+#include "core/wake.hpp"
+#include "fronts/front.hpp"
 #include "intake.hpp"
 #include "peers.hpp"
 #include "platform.hpp"
@@ -34,7 +39,12 @@
  public:
   // Takes the folder and the addresses, then what an earlier life left; from then on clients are accepted.
   // Throws where the folder or an address is in use; what is held was not touched then.
-  Relay(boost::asio::io_context& io, const Config& config);
+  struct Start {
+    std::string run;                // the id of this process's run
+    std::optional<Fence> undrain;   // takes back a drain that is kept; the start fails under a lower fence
+    std::function<void()> drained;  // a drain is done and told: nothing is held or owed any more
+  };
+  Relay(boost::asio::io_context& io, const Config& config, Start start);
   ~Relay();
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
@@ -86,15 +96,34 @@
   void hold_back(const EndpointId& endpoint);
   void compact();
   void check_drained();
+
+  // relay_fleet.cpp
+  void start_drained();
+  void change_drain(const DrainState& to, std::function<void(bool kept)> done);
+  void look_drained();
+  bool owes_nothing() const;
+  bool turned();
+  void beat();
+  void woke(Time gap);
+  void awake();
+  Time held_since(const Held& held) const;
+
+  // relay_admin.cpp, or relay_no_admin.cpp in a build without the socket
+  std::unique_ptr<Front> open_admin();
+  Status status() const;
+
   bool ready() const;
   cedarplank::event::Arrival arrival(MessageId id, const Message& m) const;
 
   boost::asio::io_context& io_;
   const Config& config_;
+  const Start start_;
+  const Time started_ = wall_now(), started_steady_ = steady_now();
   // In this order: a start that fails for want of the folder or an address has not touched what is held.
   std::unique_ptr<store::Disk> folder_;
   boost::asio::ip::tcp::acceptor listener_;         // until the intake has it
   std::unique_ptr<Peers> peers_;                    // where the settings allow notes
+  std::unique_ptr<Front> admin_;                    // where the operator's settings ask for it
   std::unique_ptr<store::SyncThread> sync_thread_;  // where records must outlast the machine
   store::Store store_;
   Outbox outbox_;           // until their records stand
@@ -113,6 +142,7 @@
   // Ids that wait for their answer, with those that handed the same one in meanwhile.
   std::unordered_map<std::string, std::vector<Reply>> twins_;
   RecentIds recent_;                     // taken on and over; those that may run again
+  HeldGauge gauge_;                      // kept where there is an admin socket
   std::set<std::int64_t> destinations_;  // that any list has named
   bool list_told_ = false;               // by discovery, in this life
   std::vector<Arrived> arrived_;
@@ -121,6 +151,14 @@
   Time last_round_ = 0, stop_at_ = 0;
   bool list_missed_ = false;  // the list changed meanwhile
   bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
+  DrainState drain_;
+  bool changing_drain_ = false;  // until it is kept
+  bool drained_failed_ = false;  // the file could not be written, as was told
+  Time quiet_since_ = 0;         // nothing is held or owed; 0: something is
+  WakeWatch wake_;
+  bool waking_ = false;  // the module is not asked
+  std::int64_t generation_;
+  boost::asio::steady_timer beat_timer_, wake_timer_, drained_timer_;
   boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_, compact_timer_;
   std::function<void()> done_;
   std::optional<Intake> intake_;  // last: it accepts once all else stands
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -203,13 +203,19 @@
         const rlimit limit{largest_file, RLIM_INFINITY};
         ::setrlimit(RLIMIT_FSIZE, &limit);
       }
-      ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
-      ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
-      if (!own_settings.empty()) ::setenv("HERONVANE_SETTINGS", (folder + "/own.toml").c_str(), 1);
+      if (!no_environment) {
+        ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
+        ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
+        if (!own_settings.empty()) ::setenv("HERONVANE_SETTINGS", (folder + "/own.toml").c_str(), 1);
+      }
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
+      if (output_in_log) ::dup2(STDERR_FILENO, STDOUT_FILENO);
       if (error_pipe >= 0) ::dup2(error_pipe, STDERR_FILENO);
       for (int fd = STDIN_FILENO; no_streams && fd <= STDERR_FILENO; fd++) ::close(fd);
-      ::execl(HERONVANE_PROGRAM, HERONVANE_PROGRAM, static_cast<char*>(nullptr));
+      std::vector<char*> argv{const_cast<char*>(HERONVANE_PROGRAM)};
+      for (auto& a : arguments) argv.push_back(a.data());
+      argv.push_back(nullptr);
+      ::execv(HERONVANE_PROGRAM, argv.data());
       ::_exit(127);
     }
   }
@@ -327,7 +333,10 @@
   int workers = 8;
   std::string more;  // further members of the configuration
   std::string disk_mb = "3";
-  std::string own_settings;  // the operator's file; empty: none
+  std::string own_settings;            // the operator's file; empty: none
+  std::vector<std::string> arguments;  // of the program
+  bool no_environment = false;         // nothing is named by variables
+  bool output_in_log = false;          // its standard output goes there too
   pid_t child = -1;
   int error_pipe = -1;      // its standard error, in the log's place
   bool no_streams = false;  // started without standard streams
