--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -128,7 +128,8 @@
   if (it == facts().end() ? value.empty() : it->second == value) return true;
   const std::uint64_t bytes = key.size() + value.size();
   const std::uint64_t before = it == facts().end() ? 0 : key.size() + it->second.size();
-  const std::uint64_t most = options_.limit_bytes / 100 * kFactShare * part / 100;
+  const std::uint64_t most = options_.limit_bytes / 100 * kFactShare * part / 100 +
+                             (options_.vital_facts.count(key) > 0 ? kMostFact : 0);
   if (!value.empty() &&
       (bytes > kMostFact || (bytes > before && table_.fact_bytes() - before + bytes > most)))
     return false;
