--- /dev/null
+++ b/standins/endpoint.hpp
@@ -0,0 +1,68 @@
+// An endpoint of a partner: POST /events and /events/bundle over kept connections on 127.0.0.1, answered as
+// its behaviour has it. One thread: all calls come from the one that runs `io`.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "behaviour.hpp"
+
+namespace heronvane::standins {
+
+// How often each message took effect, as the outside has it.
+class Effects {
+ public:
+  void ran(const std::string& id) { times_[id]++; }
+  unsigned times(const std::string& id) const {
+    const auto it = times_.find(id);
+    return it == times_.end() ? 0 : it->second;
+  }
+  void forget(const std::string& id) { times_.erase(id); }
+  std::size_t messages() const { return times_.size(); }
+
+ private:
+  std::unordered_map<std::string, unsigned> times_;
+};
+
+struct EndpointOptions {
+  std::string name;
+  Habits habits;
+  std::uint64_t seed = 0;
+  std::function<Time()> now;  // never goes back; empty: the steady clock
+  std::size_t bundle_max = 20;
+  Time idle = 5'000'000;  // connections that stand silent so long are closed
+  // A message took effect; its 200 is written to a relay that still waits. May be empty.
+  std::function<void(const std::string&id)> ran, answered;
+};
+
+class Endpoint {
+ public:
+  struct Counts {  // of messages
+    std::uint64_t served = 0, refused = 0, told_to_wait = 0, failed = 0, silent = 0, reset = 0;
+    std::uint64_t given_up = 0;  // done when the relay had gone
+    std::uint64_t malformed = 0, calls = 0, connections = 0;
+  };
+
+  // Listens at once on a port of its own. Throws std::exception.
+  Endpoint(boost::asio::io_context& io, EndpointOptions options);
+  ~Endpoint();  // ends all connections
+  Endpoint(const Endpoint&) = delete;
+  Endpoint& operator=(const Endpoint&) = delete;
+
+  const std::string& name() const;
+  std::string address() const;  // "127.0.0.1:8081"
+  const Counts& counts() const;
+  bool silent() const;
+  bool waits() const;
+
+ private:
+  class Impl;
+  class Session;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace heronvane::standins
