--- /dev/null
+++ b/cli/commands.hpp
@@ -0,0 +1,135 @@
+// What can be asked for, as parsed from the command line. A new command: a struct, its name in kCommands, its
+// place in Command; parsing (options.cpp) and run.cpp then fail to compile until they know it.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace heronvane::cli {
+
+struct CommandInfo {
+  std::string_view name, help;
+  enum class Takes { nothing, instances, file, other } takes;
+  std::string_view options;  // its own, for completion; "FILE" etc. are left to the shell
+};
+
+inline constexpr std::string_view kGlobalOptions =
+    "--agent --cert --key --ca --output -o --timeout --help --version";
+
+inline constexpr std::array kCommands{
+    CommandInfo{"up", "Start instances (all without names)", CommandInfo::Takes::instances,
+                "--no-wait --supersede --max-unavailable"},
+    CommandInfo{"down", "Stop instances (all without names)", CommandInfo::Takes::instances,
+                "--no-wait --supersede --max-unavailable"},
+    CommandInfo{"list", "One line for each instance", CommandInfo::Takes::nothing, "--names"},
+    CommandInfo{"status", "Sum up, and say what needs attention", CommandInfo::Takes::nothing, "--watch"},
+    CommandInfo{"show", "All that is known of one instance", CommandInfo::Takes::instances, ""},
+    CommandInfo{"message", "Where a message is and how its attempts went", CommandInfo::Takes::other, ""},
+    CommandInfo{"drain", "Take no new messages, finish what is held, end", CommandInfo::Takes::instances,
+                "--all --no-wait --supersede --max-unavailable"},
+    CommandInfo{"undrain", "Take messages again", CommandInfo::Takes::instances,
+                "--all --no-wait --supersede --max-unavailable"},
+    CommandInfo{"restart", "Drain and start again, few at a time", CommandInfo::Takes::instances,
+                "--all --rolling --no-wait --supersede --max-unavailable"},
+    CommandInfo{"apply", "Make the fleet what a fleet file says", CommandInfo::Takes::file,
+                "--dry-run --yes --no-wait --supersede --max-unavailable"},
+    CommandInfo{"rollback", "Go back to an earlier generation", CommandInfo::Takes::other,
+                "--dry-run --yes --no-wait --supersede --max-unavailable"},
+    CommandInfo{"history", "Operations, newest first", CommandInfo::Takes::nothing, "--limit"},
+    CommandInfo{"logs", "The log of an instance", CommandInfo::Takes::instances, "--follow -f --lines -n"},
+    CommandInfo{"cancel", "Cancel an operation", CommandInfo::Takes::other, ""},
+    CommandInfo{"operation", "One operation and its steps, until it ends", CommandInfo::Takes::other,
+                "--no-wait"},
+    CommandInfo{"completion", "Print a completion script", CommandInfo::Takes::other, ""},
+    CommandInfo{"version", "The versions of this tool and of agents", CommandInfo::Takes::nothing, ""},
+};
+
+// Of whatever starts an operation.
+struct ChangeOptions {
+  bool wait = true;
+  bool supersede = false;
+  std::optional<unsigned> max_unavailable;
+};
+
+// up, down, drain, undrain, restart: `kind` as the API names it. No names: all.
+struct Change {
+  std::string kind;
+  std::vector<std::string> names;
+  ChangeOptions options;
+};
+struct Apply {
+  std::string file;
+  bool dry_run = false, yes = false;
+  ChangeOptions options;
+};
+struct Rollback {
+  std::optional<std::uint64_t> to;  // none: the agent takes the generation before
+  bool dry_run = false, yes = false;
+  ChangeOptions options;
+};
+struct List {
+  bool names = false;  // only these, a line each
+};
+struct Status {
+  bool watch = false;
+};
+struct Show {
+  std::string instance;
+};
+struct Message {
+  std::string id;
+};
+struct History {
+  unsigned limit = 20;
+};
+struct Logs {
+  std::string instance;
+  bool follow = false;
+  unsigned lines = 100;
+};
+struct Cancel {
+  std::uint64_t operation = 0;
+};
+struct ShowOperation {
+  std::uint64_t operation = 0;
+  bool wait = true;
+};
+struct Completion {
+  std::string shell;
+};
+struct Version {};
+
+using Command = std::variant<Change, Apply, Rollback, List, Status, Show, Message, History, Logs, Cancel,
+                             ShowOperation, Completion, Version>;
+
+enum class Output { table, json };
+
+struct Global {
+  std::vector<std::string> agents;  // never empty once parsed
+  bool agents_named = false;        // by --agent, rather than found
+  std::string cert, key, ca;
+  Output output = Output::table;
+  std::optional<double> timeout;  // seconds
+};
+
+struct Invocation {
+  Global global;
+  Command command;
+};
+
+// Exit statuses (docs/operate/heronvanectl.md).
+enum Exit : int {
+  kDone = 0,
+  kUsage = 1,
+  kRefused = 2,
+  kConflict = 3,
+  kPartial = 4,
+  kUnreachable = 5,
+  kInterrupted = 130
+};
+
+}  // namespace heronvane::cli
--- /dev/null
+++ b/cli/render.cpp
@@ -0,0 +1,352 @@
+#include "render.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace heronvane::cli {
+
+namespace {
+
+Tone phase_tone(const std::string& phase) {
+  if (phase == "ready") return Tone::good;
+  if (phase == "backoff" || phase == "looping" || phase == "stalled") return Tone::bad;
+  if (phase == "unready" || phase == "starting" || phase == "draining" || phase == "stopping")
+    return Tone::warn;
+  return Tone::dim;
+}
+
+Tone state_tone(const std::string& state) {
+  if (state == "done") return Tone::good;
+  if (state == "failed") return Tone::bad;
+  if (state == "running" || state == "acting") return Tone::warn;
+  return state == "cancelled" || state == "superseded" ? Tone::warn : Tone::dim;
+}
+
+std::string since(std::int64_t at_ms, std::int64_t now_ms) {
+  return at_ms > 0 ? duration(now_ms - at_ms) : "-";
+}
+
+std::string since_now(std::int64_t at_ms, std::int64_t now_ms) {
+  const auto ms = at_ms - now_ms;
+  return ms <= 0 ? "now" : "in " + duration(ms);
+}
+
+template <class T>
+bool several(const std::vector<Told<T>>& all) {
+  return std::any_of(all.begin(), all.end(), [](const auto& a) { return !a.label.empty(); });
+}
+
+std::size_t ended_steps(const Operation& o) {
+  return static_cast<std::size_t>(std::count_if(o.steps.begin(), o.steps.end(), [](const Step& s) {
+    return s.state != "waiting" && s.state != "acting";
+  }));
+}
+
+// "operation 7 (restart by ana@web1 pid 71)"
+std::string named(const Operation& o) {
+  return "operation " + std::to_string(o.id) + " (" + o.kind + (o.by.empty() ? "" : " by " + o.by) + ")";
+}
+
+struct Attention {
+  std::string what, next;
+};
+
+// What keeps an instance from being what is wanted of it, and what to do; none where it is as wanted.
+std::optional<Attention> attention(const Instance& i, const std::string& command, std::int64_t now_ms) {
+  const auto logs = command + " logs " + i.name;
+  const auto exit = i.last_exit.empty() ? "" : "; last ended with " + i.last_exit;
+  const auto for_ = i.since_ms > 0 ? " for " + duration(now_ms - i.since_ms) : "";
+  if (i.phase == "backoff")
+    return Attention{"crashed, starts again " + since_now(i.next_start_ms, now_ms) + exit, logs};
+  if (i.phase == "looping")
+    return Attention{"crashes over and over (" + count(i.restarts, "restart", "restarts") +
+                         "), still tried, " + since_now(i.next_start_ms, now_ms) + exit,
+                     logs};
+  if (i.phase == "stalled")
+    return Attention{"its process stands but has not answered" + for_, command + " restart " + i.name};
+  if (i.phase == "unready") return Attention{"answers, but is not ready" + for_, command + " show " + i.name};
+  const bool settled = i.operation == 0;
+  if (settled && i.desired == "running" &&
+      (i.phase == "absent" || i.phase == "stopped" || i.phase == "drained"))
+    return Attention{"is " + i.phase + " though it should run" + exit,
+                     command + (i.phase == "drained" ? " undrain " : " up ") + i.name};
+  if (settled && i.generation != i.wanted_generation && i.generation > 0 && i.phase == "ready")
+    return Attention{"runs the configuration of generation " + std::to_string(i.generation) + ", wanted is " +
+                         std::to_string(i.wanted_generation),
+                     command + " restart " + i.name};
+  if (i.status && !i.status->trouble.empty())
+    return Attention{i.status->trouble, command + " show " + i.name};
+  if (i.phase == "draining" && i.held > 0 && i.oldest_ms > 60'000)
+    return Attention{"drains, and still holds " + count(i.held, "message", "messages") + ", the oldest for " +
+                         duration(i.oldest_ms),
+                     command + " show " + i.name};
+  return {};
+}
+
+std::string status_of(const Told<StatusView>& told, const Style& style, std::int64_t now_ms) {
+  const auto& v = told.value;
+  const auto& a = v.agent;
+  std::string out;
+  const auto line = [&](const std::string& text, Tone tone = Tone::plain) {
+    std::string l = wrapped(safe(text), 0, style.width);
+    l.pop_back();
+    out += toned(l, tone, style) + "\n";
+  };
+  auto title = "Agent " + (a.name.empty() ? "without a name" : a.name);
+  if (!told.label.empty() && told.label != a.name) title += " (" + told.label + ")";
+  title += ", up " + since(a.started_ms, now_ms) + ", generation " + std::to_string(a.generation);
+  line(title, Tone::bold);
+
+  // Phases in the order in which they want to be seen.
+  static constexpr const char* kPhases[] = {"ready",   "starting", "unready", "draining",
+                                            "drained", "stopping", "stopped", "backoff",
+                                            "looping", "stalled",  "absent"};
+  std::map<std::string, std::int64_t> phases;
+  std::int64_t held = 0, oldest = 0;
+  const Instance* oldest_in = nullptr;
+  for (const auto& i : v.instances) {
+    phases[i.phase]++;
+    held += i.held;
+    if (i.held > 0 && i.oldest_ms > oldest) oldest = i.oldest_ms, oldest_in = &i;
+  }
+  std::string by_phase;
+  const auto add = [&](const std::string& phase, std::int64_t n) {
+    by_phase += (by_phase.empty() ? ": " : ", ") + std::to_string(n) + " " + phase;
+  };
+  for (const char* p : kPhases)
+    if (const auto m = phases.find(p); m != phases.end()) {
+      add(p, m->second);
+      phases.erase(m);
+    }
+  for (const auto& [phase, n] : phases) add(phase, n);
+  line(v.instances.empty()
+           ? "No instances yet: " + told.command + " apply FILE"
+           : count(static_cast<std::int64_t>(v.instances.size()), "instance", "instances") + by_phase);
+  if (!v.instances.empty())
+    line(held == 0 ? "No messages held"
+                   : count(held, "message", "messages") + " held" +
+                         (oldest_in == nullptr
+                              ? ""
+                              : ", the oldest for " + duration(oldest) + " in " + oldest_in->name));
+  if (a.platform)
+    line("Platform at " + a.platform->listen + ": " + count(a.platform->endpoints, "endpoint", "endpoints") +
+         ", " + count(a.platform->watchers, "watcher", "watchers") + ", " +
+         count(a.platform->finals, "notice", "notices"));
+  if (v.operation) {
+    const auto& o = *v.operation;
+    line("Running: " + named(o) + ", " + std::to_string(ended_steps(o)) + " of " +
+             count(static_cast<std::int64_t>(o.steps.size()), "step", "steps") + ", for " +
+             since(o.created_ms, now_ms),
+         Tone::warn);
+  }
+
+  bool any = false;
+  for (const auto& i : v.instances) {
+    const auto what = attention(i, told.command, now_ms);
+    if (!what) continue;
+    if (!any) out += "\n" + toned("Needs attention", Tone::bold, style) + "\n";
+    any = true;
+    out += "  " + toned(safe(i.name), Tone::bold, style) + "  " +
+           toned(safe(i.phase), phase_tone(i.phase), style) + "\n" +
+           wrapped(safe(what->what), 4, style.width) + wrapped("next: " + safe(what->next), 4, style.width);
+  }
+  if (v.not_looked_at > 0)
+    line("\n" + count(static_cast<std::int64_t>(v.not_looked_at), "instance was", "instances were") +
+         " not looked into, for lack of time.");
+  else if (!any && !v.instances.empty())
+    out += toned("Nothing needs attention.", Tone::good, style) + "\n";
+  return out;
+}
+
+}  // namespace
+
+std::string render_list(const std::vector<Told<Listing>>& all, const Style& style, std::int64_t now_ms) {
+  const bool many = several(all);
+  std::vector<Table::Column> titles;
+  if (many) titles.push_back({"AGENT"});
+  titles.insert(titles.end(), {{"NAME"},
+                               {"PHASE"},
+                               {"WANTED", 4},
+                               {"FOR", 3, true},
+                               {"HELD", 0, true},
+                               {"OLDEST", 1, true},
+                               {"RESTARTS", 5, true},
+                               {"OPERATION", 6, true},
+                               {"LISTEN", 2}});
+  Table table(titles);
+  for (const auto& told : all)
+    for (const auto& i : told.value.instances) {
+      std::vector<Table::Cell> row;
+      if (many) row.emplace_back(told.label);
+      const bool runs = i.pid > 0;
+      row.insert(row.end(), {{i.name},
+                             {i.phase, phase_tone(i.phase)},
+                             {i.desired},
+                             {since(i.since_ms, now_ms)},
+                             {runs ? std::to_string(i.held) : "-"},
+                             {runs && i.held > 0 ? duration(i.oldest_ms) : "-"},
+                             {std::to_string(i.restarts)},
+                             {i.operation > 0 ? std::to_string(i.operation) : "-"},
+                             {i.listen}});
+      table.row(std::move(row));
+    }
+  if (!table.empty()) return table.text(style);
+  return all.empty() ? "" : "No instances yet: " + all.front().command + " apply FILE\n";
+}
+
+std::string render_status(const std::vector<Told<StatusView>>& all, const Style& style, std::int64_t now_ms) {
+  std::string out;
+  for (const auto& told : all) {
+    if (!out.empty()) out += "\n";
+    out += status_of(told, style, now_ms);
+  }
+  return out;
+}
+
+std::string render_history(const std::vector<Told<std::vector<Operation>>>& all, const Style& style,
+                           std::int64_t now_ms) {
+  const bool many = several(all);
+  std::vector<Table::Column> titles;
+  if (many) titles.push_back({"AGENT"});
+  titles.insert(titles.end(), {{"ID", 0, true},
+                               {"KIND"},
+                               {"STATE"},
+                               {"STEPS", 2, true},
+                               {"AGO", 0, true},
+                               {"TOOK", 3, true},
+                               {"GEN", 4, true},
+                               {"BY", 1}});
+  Table table(titles);
+  std::vector<std::pair<std::string, const Operation*>> rows;
+  for (const auto& told : all)
+    for (const auto& o : told.value) rows.emplace_back(told.label, &o);
+  std::stable_sort(rows.begin(), rows.end(),
+                   [](const auto& a, const auto& b) { return a.second->created_ms > b.second->created_ms; });
+  for (const auto& [label, o] : rows) {
+    std::vector<Table::Cell> row;
+    if (many) row.emplace_back(label);
+    const auto end = o->ended_ms > 0 ? o->ended_ms : now_ms;
+    row.insert(row.end(), {{std::to_string(o->id)},
+                           {o->kind},
+                           {o->state, state_tone(o->state)},
+                           {std::to_string(ended_steps(*o)) + "/" + std::to_string(o->steps.size())},
+                           {since(o->created_ms, now_ms)},
+                           {duration(end - o->created_ms)},
+                           {std::to_string(o->generation)},
+                           {o->by}});
+    table.row(std::move(row));
+  }
+  return table.empty() ? "No operations yet.\n" : table.text(style);
+}
+
+std::string render_operation(const Told<Operation>& told, const Style& style, std::int64_t now_ms) {
+  const auto& o = told.value;
+  auto head = "operation " + std::to_string(o.id) + ", " + o.kind + ": " + o.state;
+  if (!told.label.empty()) head = told.label + ": " + head;
+  if (o.state == "superseded" && o.superseded_by > 0)
+    head += " by operation " + std::to_string(o.superseded_by);
+  const auto done =
+      std::count_if(o.steps.begin(), o.steps.end(), [](const Step& s) { return s.state == "done"; });
+  if (!o.steps.empty())
+    head += ", " + std::to_string(done) + " of " +
+            count(static_cast<std::int64_t>(o.steps.size()), "step", "steps") + " done";
+  if (o.created_ms > 0)
+    head +=
+        o.running() ? ", for " + since(o.created_ms, now_ms) : " in " + duration(o.ended_ms - o.created_ms);
+  std::string out = wrapped(safe(head), 0, style.width);
+  if (!o.by.empty()) out += "by " + safe(o.by) + ", " + moment(o.created_ms) + "\n";
+  if (!o.message.empty()) out += wrapped(safe(o.message), 0, style.width);
+  if (!o.steps.empty()) {
+    Table table({{"INSTANCE"}, {"STATE"}, {"FOR", 1, true}, {"WHAT"}});
+    for (const auto& s : o.steps)
+      table.row({{s.instance},
+                 {s.state, state_tone(s.state)},
+                 {s.state == "acting" ? since(s.since_ms, now_ms) : "-"},
+                 {s.what}});
+    out += "\n" + table.text(style);
+  }
+  if (o.state == "failed" && o.kind == "apply")
+    out += "next: " + told.command + " rollback    (takes it back)\n";
+  else if (o.state == "failed")
+    out += "next: " + told.command + " status\n";
+  return out;
+}
+
+std::string render_diff(const Told<Operation>& told, const Style& style) {
+  const auto& o = told.value;
+  std::string out;
+  if (!told.label.empty()) out += toned(safe(told.label) + ":", Tone::bold, style) + "\n";
+  if (o.diff.empty() && o.steps.empty()) return out + "No changes.\n";
+  for (const auto& line : o.diff) {
+    const Tone tone = line.empty()     ? Tone::plain
+                      : line[0] == '+' ? Tone::good
+                      : line[0] == '-' ? Tone::bad
+                                       : Tone::plain;
+    out += toned(safe(line), tone, style) + "\n";
+  }
+  if (!o.steps.empty()) {
+    std::string names;
+    for (const auto& s : o.steps) {
+      names += (names.empty() ? "" : ", ") + s.instance;
+      if (!s.what.empty()) names += " (" + s.what + ")";
+    }
+    out += wrapped("Steps: " + safe(names), 0, style.width);
+  }
+  return out;
+}
+
+std::string render_versions(const std::vector<Told<AgentInfo>>& all, const std::string& own,
+                            const Style& style) {
+  std::string out = "heronvanectl " + own + "\n";
+  for (const auto& told : all) {
+    const auto& a = told.value;
+    const auto where = told.label.empty() ? a.name : told.label;
+    out += wrapped(safe("heronvane-agent " + a.version + " (API " + std::to_string(a.api) + ") on " + where),
+                   0, style.width);
+  }
+  return out;
+}
+
+std::string progress_line(const Told<Operation>& told, const Style& style, std::int64_t now_ms) {
+  const auto& o = told.value;
+  const auto ended = ended_steps(o);
+  std::string head =
+      (told.label.empty() ? "" : safe(told.label) + " ") + safe(o.kind) + " " + std::to_string(o.id);
+  const auto tail = std::to_string(ended) + "/" + std::to_string(o.steps.size());
+  const auto took = duration((o.ended_ms > 0 ? o.ended_ms : now_ms) - o.created_ms);
+  constexpr std::size_t kBar = 20;
+  const auto full = o.steps.empty() ? (o.running() ? 0 : kBar) : ended * kBar / o.steps.size();
+  std::string what;
+  if (o.running()) {
+    for (const auto& s : o.steps)
+      if (s.state == "acting")
+        what += (what.empty() ? "" : ", ") + s.instance + (s.what.empty() ? "" : " ") + s.what;
+  } else {
+    what = o.state;
+  }
+  what = safe(what);
+  auto line = head + " [" + std::string(full, '#') + std::string(kBar - full, '.') + "] " + tail + " " + took;
+  // A line that wraps could not be drawn over: what there is no room for goes, the words on steps first.
+  const auto room = style.width > 0 ? style.width - 1 : line.size() + what.size() + 2;
+  if (columns(line) + 2 + columns(what) <= room) return what.empty() ? line : line + "  " + what;
+  if (columns(line) + 6 <= room && columns(what) == what.size())
+    return line + "  " + what.substr(0, room - columns(line) - 5) + "...";
+  return columns(line) <= room ? line : line.substr(0, room);
+}
+
+std::string step_lines(const Operation& before, const Told<Operation>& after) {
+  std::string out;
+  const auto& o = after.value;
+  for (const auto& s : o.steps) {
+    if (s.state == "waiting" || s.state == "acting") continue;
+    const bool known = std::any_of(before.steps.begin(), before.steps.end(), [&](const Step& b) {
+      return b.instance == s.instance && b.state == s.state;
+    });
+    if (known) continue;
+    out += (after.label.empty() ? "" : safe(after.label) + ": ") + safe(o.kind) + " " + std::to_string(o.id) +
+           ": " + safe(s.instance) + " " + safe(s.state) + (s.what.empty() ? "" : ": " + safe(s.what)) + "\n";
+  }
+  return out;
+}
+
+}  // namespace heronvane::cli
--- /dev/null
+++ b/cli/render.hpp
@@ -0,0 +1,51 @@
+// Models in, text out. Pure: width, colour and the time now are handed in.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "commands.hpp"
+#include "model.hpp"
+#include "text.hpp"
+
+namespace heronvane::cli {
+
+// What one agent told. `label` names it in tables where several were asked; "" where one was. `command`: how
+// the tool is called for this agent ("heronvanectl --agent X"), for what is told to do next.
+template <class T>
+struct Told {
+  std::string label, command;
+  T value;
+};
+
+struct StatusView {
+  AgentInfo agent;
+  std::vector<Instance> instances;
+  std::optional<Operation> operation;  // that runs
+  std::size_t not_looked_at = 0;       // instances whose own status was not asked for, for lack of time
+};
+
+struct Listing {
+  std::int64_t generation = 0;
+  std::vector<Instance> instances;
+};
+
+std::string render_list(const std::vector<Told<Listing>>& all, const Style& style, std::int64_t now_ms);
+std::string render_status(const std::vector<Told<StatusView>>& all, const Style& style, std::int64_t now_ms);
+std::string render_instance(const Told<Instance>& one, const Style& style, std::int64_t now_ms);
+std::string render_message(const std::vector<Told<MessageAnswer>>& all, const Style& style,
+                           std::int64_t now_ms);
+std::string render_history(const std::vector<Told<std::vector<Operation>>>& all, const Style& style,
+                           std::int64_t now_ms);
+std::string render_operation(const Told<Operation>& one, const Style& style, std::int64_t now_ms);
+std::string render_diff(const Told<Operation>& one, const Style& style);
+std::string render_versions(const std::vector<Told<AgentInfo>>& all, const std::string& own,
+                            const Style& style);
+
+// A line that fits the style's width, without its end.
+std::string progress_line(const Told<Operation>& one, const Style& style, std::int64_t now_ms);
+// A line for each step that ended since `before`.
+std::string step_lines(const Operation& before, const Told<Operation>& after);
+
+}  // namespace heronvane::cli
