--- /dev/null
+++ b/tests/fleet/finals_test.cpp
@@ -0,0 +1,147 @@
+// Notices on disk: all of a request or none, once, for as long and as many as stated.
+#include "fleet/finals.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace heronvane::fleet {
+namespace {
+
+using Stored = Finals::Stored;
+
+class FinalsTest : public ::testing::Test {
+ protected:
+  FinalsTest() {
+    folder = std::filesystem::temp_directory_path() / ("heronvane-finals-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    path = folder / "finals.db";
+  }
+  ~FinalsTest() override { std::filesystem::remove_all(folder); }
+  static std::vector<Notice> some(int from, int to) {
+    std::vector<Notice> all;
+    for (int i = from; i < to; i++) all.push_back({"m" + std::to_string(i), FinalStatus::undeliverable, {}});
+    return all;
+  }
+  std::filesystem::path folder;
+  std::string path;
+};
+
+TEST_F(FinalsTest, AreKeptOnceOverARestart) {
+  const std::vector<Notice> two = {{"m1", FinalStatus::deferred, 500},
+                                   {"m2", FinalStatus::undeliverable, {}}};
+  {
+    Finals finals(path);
+    EXPECT_EQ(finals.store(two, 1000), Stored::yes);
+    EXPECT_EQ(finals.store(std::vector<Notice>{{"m1", FinalStatus::undeliverable, {}}}, 2000), Stored::yes);
+    EXPECT_EQ(finals.count(), 2);
+  }
+  Finals finals(path);
+  EXPECT_EQ(finals.count(), 2);
+  const auto m1 = finals.find("m1");
+  ASSERT_TRUE(m1);
+  EXPECT_EQ(m1->notice, two[0]);
+  EXPECT_EQ(m1->received_ms, 1000);
+  EXPECT_EQ(m1->repeats, 1);
+  EXPECT_EQ(finals.find("m2")->repeats, 0);
+  EXPECT_FALSE(finals.find("m3"));
+  struct stat s {};
+  ASSERT_EQ(::stat(path.c_str(), &s), 0);
+  EXPECT_EQ(s.st_mode & 0777u, 0600u);
+}
+
+TEST_F(FinalsTest, NewestFirst) {
+  Finals finals(path);
+  finals.store(some(0, 3), 1000);
+  finals.store(some(3, 5), 3000);
+  finals.store(some(5, 6), 2000);  // the clock was set back
+  std::string order;
+  for (const auto& f : finals.newest(4)) order += f.notice.id;
+  EXPECT_EQ(order, "m4m3m5m2");
+}
+
+TEST_F(FinalsTest, TheOldestGoByAgeAndNumber) {
+  Finals::Options options;
+  options.keep_ms = 1000, options.most = 10;
+  Finals finals(path, options);
+  finals.store(some(0, 4), 1000);
+  finals.store(some(4, 8), 1500);
+  EXPECT_EQ(finals.prune(2000), 0u);  // as old as may be
+  EXPECT_EQ(finals.prune(2001, 3), 3u);
+  EXPECT_EQ(finals.prune(2001, 3), 1u);
+  EXPECT_EQ(finals.prune(2001, 3), 0u);
+  EXPECT_EQ(finals.count(), 4);
+  EXPECT_EQ(finals.store(some(8, 20), 2001), Stored::yes);
+  EXPECT_EQ(finals.count(), 10);
+  EXPECT_FALSE(finals.find("m9"));
+  EXPECT_TRUE(finals.find("m10"));
+}
+
+TEST_F(FinalsTest, ALowerNumberIsReachedInSteps) {
+  { Finals(path).store(some(0, 3000), 1000); }
+  Finals::Options options;
+  options.most = 5;
+  Finals finals(path, options);
+  EXPECT_EQ(finals.store(some(3000, 3001), 1000), Stored::yes);
+  EXPECT_EQ(finals.count(), 2000);
+  while (finals.prune(1000) > 0) continue;
+  EXPECT_EQ(finals.count(), 5);
+  EXPECT_TRUE(finals.find("m3000"));
+}
+
+// All of a request or none: what is told 503 as a whole comes again as a whole.
+TEST_F(FinalsTest, AFullDiskStoresNothingOfARequest) {
+  Finals finals(path);
+  finals.store(some(0, 1), 1000);
+  finals.limit_bytes(64 * 1024);
+  EXPECT_EQ(finals.store(some(1, 5000), 1000), Stored::full);
+  EXPECT_NE(finals.trouble(), "");
+  EXPECT_EQ(finals.count(), 1);
+  EXPECT_FALSE(finals.find("m1"));
+  finals.limit_bytes(0);
+  EXPECT_EQ(finals.store(some(1, 5000), 1000), Stored::yes);
+  EXPECT_EQ(finals.trouble(), "");
+  EXPECT_EQ(finals.count(), 5000);
+}
+
+TEST_F(FinalsTest, AFileOfAnotherKindIsRefused) {
+  std::ofstream(path) << std::string(5000, 'x');
+  try {
+    Finals finals(path);
+    FAIL() << "it was opened";
+  } catch (const std::runtime_error& e) {
+    EXPECT_NE(std::string(e.what()).find(path), std::string::npos);
+    EXPECT_NE(std::string(e.what()).find("move"), std::string::npos) << e.what();
+  }
+  EXPECT_THROW(Finals("/dev/null/no.db"), std::runtime_error);
+}
+
+TEST(Notices, AreReadOrRefusedAsAWhole) {
+  std::string problem;
+  const auto read = [&](const std::string& body) { return read_notices(body, problem); };
+  const auto good = read(
+      "{\"id\":\"a\",\"status\":\"undeliverable\"}\r\n\n"
+      "{\"id\":\"b\",\"status\":\"deferred\",\"again_ms\":500,\"more\":[1]}");
+  ASSERT_TRUE(good);
+  EXPECT_EQ(*good,
+            (std::vector<Notice>{{"a", FinalStatus::undeliverable, {}}, {"b", FinalStatus::deferred, 500}}));
+  EXPECT_TRUE(read("")->empty());
+  const std::string first = "{\"id\":\"a\",\"status\":\"undeliverable\"}\n";
+  for (const std::string bad :
+       {"{", "5", "[]", "{}", R"({"id":5,"status":"deferred"})", R"({"id":"","status":"deferred"})",
+        R"({"id":"a"})", R"({"id":"a","status":"lost"})", R"({"id":"a\n","status":"deferred"})",
+        R"({"id":"a","status":"deferred","again_ms":-1})", R"({"id":"a","status":"deferred","again_ms":"5"})",
+        "{\"id\":\"\xff\",\"status\":\"deferred\"}"}) {
+    EXPECT_FALSE(read(first + bad + "\n")) << bad;
+    EXPECT_EQ(problem.substr(0, 7), "line 2 ") << problem;
+  }
+  EXPECT_FALSE(read(std::string(1'000'000, '[')));
+  EXPECT_FALSE(read("{\"id\":\"" + std::string(300, 'x') + "\",\"status\":\"deferred\"}"));
+}
+
+}  // namespace
+}  // namespace heronvane::fleet
--- /dev/null
+++ b/tests/fleet/partners_test.cpp
@@ -0,0 +1,160 @@
+// The partner list: what is wrong is told with its line, its field and what to do.
+#include "fleet/partners.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace heronvane::fleet {
+namespace {
+
+const std::string kGood =
+    R"({"name":"s-1","address":"127.0.0.1:8081","zone":"a","type":"small","group":7,"status":"draining",)"
+    R"("weight":0.1,"since_ms":1700000000000})";
+
+std::string of(const std::string& entries) { return "{\"endpoints\":[\n" + entries + "\n]}\n"; }
+
+TEST(Partners, AreRead) {
+  const auto list = read_partners(
+      of(kGood + ",\n" + R"({"name":"s-2","address":"::1:80","group":-3,"zone":null,"weight":2})"));
+  ASSERT_EQ(list.trouble(), "");
+  ASSERT_EQ(list.endpoints.size(), 2u);
+  EXPECT_EQ(list.endpoints[0],
+            (Endpoint{"s-1", "127.0.0.1:8081", "a", "small", 7, Status::draining, 0.1, 1700000000000}));
+  EXPECT_EQ(list.endpoints[1], (Endpoint{"s-2", "::1:80", "", "", -3, Status::ready, 2.0, 0}));
+  EXPECT_TRUE(read_partners(R"({"endpoints":[]})").ok());
+  EXPECT_TRUE(read_partners(R"({"index":41,"snapshot":true,"endpoints":[]})").ok());
+}
+
+struct Case {
+  std::string text;
+  std::size_t line;
+  std::string field, what;
+};
+
+TEST(Partners, EachProblemNamesItsLineAndField) {
+  const auto entry = [](const std::string& fields) {
+    return of(kGood + ",\n{\"name\":\"s-2\",\"address\":\"127.0.0.1:1\",\"group\":1" + fields + "}");
+  };
+  const auto at = [](const std::string& address) {
+    return of(R"({"name":"s-2","group":1,)"
+              "\n"
+              R"("address":")" +
+              address + "\"}");
+  };
+  const std::vector<Case> cases = {
+      {"", 1, "", "no JSON"},
+      {"[]", 1, "", "no object"},
+      {"5", 1, "", "no object"},
+      {"{}", 1, "endpoints", "missing"},
+      {"{\n\"endpoint\":[]}", 2, "'endpoint'", "no field"},
+      {"{\"endpoints\":\n{}}", 2, "endpoints", "neither"},
+      {"{\"endpoints\":[],\"endpoints\":[]}", 1, "endpoints", "twice"},
+      {"{\"endpoints\":[5]}", 1, "endpoints", "no object"},
+      {"{\"endpoints\":[[]]}", 1, "endpoints", "no object"},
+      {of(kGood + "\n" + kGood), 3, "", "no JSON"},
+      {of(kGood + ","), 3, "", "no JSON"},
+      {of(kGood).substr(0, 60), 2, "", "no JSON"},
+      {of(kGood) + "x", 4, "", "no JSON"},
+      {of(kGood) + std::string(1, '\0'), 4, "", "byte 0"},
+      {of("{\"name\":\"\xff\"}"), 2, "", "no JSON"},
+      {of(kGood + ",\n" + kGood), 3, "endpoints[1].name", "line 2"},
+      {of(R"({"name":"","address":"127.0.0.1:1","group":1})"), 2, "endpoints[0].name", "empty"},
+      {of(R"({"address":"127.0.0.1:1","group":1})"), 2, "endpoints[0].name", "missing"},
+      {of(R"({"name":"a","group":1})"), 2, "endpoints[0].address", "missing"},
+      {of(R"({"name":"a","address":"127.0.0.1:1"})"), 2, "endpoints[0].group", "missing"},
+      {of(R"({"name":"a\u0001","address":"127.0.0.1:1","group":1})"), 2, "endpoints[0].name", "control"},
+      {at("s-1.svc:80"), 3, "endpoints[0].address", "numeric"},
+      {at("127.0.0.1"), 3, "endpoints[0].address", "no port"},
+      {at("127.0.0.1:"), 3, "endpoints[0].address", "no port"},
+      {at("127.0.0.1:0"), 3, "endpoints[0].address", "no port"},
+      {at("127.0.0.1:65536"), 3, "endpoints[0].address", "no port"},
+      {at("127.0.0.1:+1"), 3, "endpoints[0].address", "no port"},
+      {at("[::1]:80"), 3, "endpoints[0].address", "numeric"},  // relays can't read it
+      {at("0.0.0.0:80"), 3, "endpoints[0].address", "numeric"},
+      {entry(",\n\"group\":1"), 4, "endpoints[1].group", "twice"},
+      {entry(",\n\"wieght\":1"), 4, "endpoints[1].'wieght'", "no field"},
+      {entry(",\n\"wieght\":{}"), 4, "endpoints[1].'wieght'", "no field"},
+      {entry(",\"status\":\"gone\""), 3, "endpoints[1].status", "no status"},
+      {entry(",\"status\":1"), 3, "endpoints[1].status", "no text"},
+      {entry(",\"zone\":true"), 3, "endpoints[1].zone", "no text"},
+      {entry(",\"type\":[]"), 3, "endpoints[1].type", "no text"},
+      {entry(",\"zone\":\"" + std::string(300, 'z') + "\""), 3, "endpoints[1].zone", "longer"},
+      {entry(",\"weight\":\"1\""), 3, "endpoints[1].weight", "no number"},
+      {entry(",\"weight\":-1"), 3, "endpoints[1].weight", "range"},
+      {entry(",\"weight\":1e300"), 3, "endpoints[1].weight", "range"},
+      {entry(",\"weight\":18446744073709551615"), 3, "endpoints[1].weight", "range"},
+      {entry(",\"since_ms\":-1"), 3, "endpoints[1].since_ms", "range"},
+      {entry(",\"since_ms\":1.5"), 3, "endpoints[1].since_ms", "no whole number"},
+      {of(R"({"name":"a","address":"127.0.0.1:1","group":1.0})"), 2, "endpoints[0].group", "no whole number"},
+      {of(R"({"name":"a","address":"127.0.0.1:1","group":99999999999999999999})"), 2, "endpoints[0].group",
+       "no whole number"},
+      {std::string(1'000'000, '['), 1, "", "no object"},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.text.substr(0, 200));
+    const auto list = read_partners(c.text);
+    ASSERT_FALSE(list.ok());
+    EXPECT_TRUE(list.endpoints.empty());
+    const auto& p = list.problems[0];
+    EXPECT_EQ(p.line, c.line);
+    EXPECT_EQ(p.field, c.field);
+    EXPECT_NE(p.what.find(c.what), std::string::npos) << p.what;
+    EXPECT_FALSE(p.hint.empty());
+    EXPECT_EQ(p.text().find('\n'), std::string::npos);
+  }
+}
+
+TEST(Partners, AllProblemsAreToldUpToABound) {
+  const auto list = read_partners(of(R"({"name":"","address":"x","group":"7"},)"
+                                     "\n"
+                                     R"({"name":"a"})"));
+  std::vector<std::string> fields;
+  for (const auto& p : list.problems) fields.push_back(p.field);
+  EXPECT_EQ(fields,
+            (std::vector<std::string>{"endpoints[0].name", "endpoints[0].address", "endpoints[0].group",
+                                      "endpoints[1].address", "endpoints[1].group"}));
+  std::string many = "{}";
+  for (int i = 0; i < 100; i++) many += ",{}";
+  EXPECT_EQ(read_partners(of(many)).problems.size(), 20u);
+}
+
+TEST(Partners, AreBounded) {
+  std::string entries;
+  const auto add = [&](std::size_t i) {
+    entries += (i > 0 ? "," : "") + (R"({"name":"s-)" + std::to_string(i)) +
+               R"(","address":"127.0.0.1:8081","group":7})";
+  };
+  for (std::size_t i = 0; i < kMostPartners; i++) add(i);
+  EXPECT_EQ(read_partners(of(entries)).endpoints.size(), kMostPartners);
+  add(kMostPartners);
+  EXPECT_NE(read_partners(of(entries)).trouble().find("more than 100000"), std::string::npos);
+  EXPECT_NE(read_partners(std::string(kMostPartnersBytes + 1, ' ')).trouble().find("bytes"),
+            std::string::npos);
+}
+
+// Spoilt in any way, a list is read or refused; what is refused gives no endpoints.
+TEST(Partners, SpoiltTextsAreReadOrRefused) {
+  const std::string good =
+      of(kGood + "," + kGood + ",{\"name\":\"\\u00e9\",\"address\":\"::1:1\",\"group\":1}");
+  for (unsigned seed = 0; seed < 20'000; seed++) {
+    std::mt19937 random(seed);
+    std::string text = good;
+    for (auto n = 1 + random() % 3; n > 0; n--) {
+      const auto at = random() % text.size();
+      if (random() % 3 == 0)
+        text.erase(at, 1 + random() % 20);
+      else if (random() % 2 == 0)
+        text[at] = static_cast<char>(random() % 256);
+      else
+        text.insert(at, good.substr(random() % good.size(), random() % 20));
+      if (text.empty()) break;
+    }
+    const auto list = read_partners(text);
+    EXPECT_TRUE(list.ok() || list.endpoints.empty());
+    EXPECT_LE(list.problems.size(), 21u);
+  }
+}
+
+}  // namespace
+}  // namespace heronvane::fleet
