heronvanectl demo: a fleet under its own agent, among partners that misbehave

Somebody who has just built the programs has nothing to look at. The command starts an agent with three relays in a temporary folder, plays six partners and their clients in this process, keeps the books on every message from outside, and shows it live; at the end it drains, ends and removes all of it and says what became of each message.

--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -45,6 +45,8 @@
     CommandInfo{"operation", "One operation and its steps, until it ends", CommandInfo::Takes::other,
                 "--no-wait"},
     CommandInfo{"completion", "Print a completion script", CommandInfo::Takes::other, ""},
+    CommandInfo{"demo", "A fleet of its own with clients and partners, to look at and to try",
+                CommandInfo::Takes::nothing, "--seconds --plain"},
     CommandInfo{"version", "The versions of this tool and of agents", CommandInfo::Takes::nothing, ""},
 };
 
@@ -101,10 +103,14 @@
 struct Completion {
   std::string shell;
 };
+struct Demo {
+  std::optional<double> seconds;  // none: until Ctrl-C
+  bool plain = false;             // lines, no screen
+};
 struct Version {};
 
 using Command = std::variant<Change, Apply, Rollback, List, Status, Show, Message, History, Logs, Cancel,
-                             ShowOperation, Completion, Version>;
+                             ShowOperation, Completion, Demo, Version>;
 
 enum class Output { table, json };
 
--- /dev/null
+++ b/cli/demo.cpp
@@ -0,0 +1,370 @@
+#include "demo.hpp"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <deque>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <optional>
+
+#include "demo_agent.hpp"
+#include "demo_notices.hpp"
+#include "demo_world.hpp"
+#include "session.hpp"
+#include "terminal.hpp"
+
+namespace heronvane::cli {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t kRelays = 3;
+constexpr auto kTick = milliseconds(250);
+constexpr auto kTickEnding = milliseconds(20);
+constexpr auto kStartWithin = std::chrono::seconds(30);
+// From Ctrl-C on: relays have drained; the agent has ended; all of it is over, which ends what is left.
+constexpr auto kDrainWithin = milliseconds(3'600), kEndWithin = milliseconds(4'600);
+constexpr std::size_t kMostHappened = 40;
+constexpr std::uint64_t kSeed = 20;
+
+class Demonstration {
+ public:
+  explicit Demonstration(const Demo& options);
+  int run();
+
+ private:
+  enum class Stage { starting, running, draining, stopping, over };
+  void tick();
+  void step();
+  void seen(FleetWatch::Seen s);
+  void begin_end(const std::string& why);
+  void stop_agent();
+  void watch_agent();
+  void happened(const std::string& what);
+  void note_phases(const std::vector<Instance>& now);
+  void show();
+  DemoView view();
+  bool drained() const;
+  int sum_up();
+  std::string fleet() const;
+  std::int64_t elapsed_s() const {
+    return std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - started_).count();
+  }
+
+  const Demo& options_;
+  const bool drawn_;
+  TemporaryFolder folder_;
+  net::io_context io_{1};
+  net::signal_set ends_{io_}, resized_{io_};
+  net::steady_timer timer_{io_};
+  const Clock::time_point started_ = Clock::now();
+  std::vector<std::uint16_t> ports_;
+  DemoWorld world_;
+  AgentProcess agent_{folder_.path()};
+  std::optional<FleetWatch> watch_;
+  std::optional<Screen> screen_;
+  FleetWatch::Seen last_;
+  std::map<std::string, Instance> phases_;
+  Stage stage_ = Stage::starting;
+  Clock::time_point stage_since_ = started_, end_since_{}, shown_{}, agent_again_{};
+  std::deque<DemoView::Happened> happened_;
+  std::string failure_, headline_ = "starting";
+  bool all_drained_ = false, killed_ = false, hints_told_ = false;
+  std::size_t leftovers_ = 0;
+};
+
+Demonstration::Demonstration(const Demo& options)
+    : options_(options),
+      drawn_(!options.plain && is_terminal(1)),
+      ports_(free_ports(kRelays + 1)),
+      world_(
+          io_, folder_.path() + "/partners.json", [this](const std::string& what) { happened(what); },
+          kSeed) {}
+
+std::string Demonstration::fleet() const {
+  const auto address = [&](std::size_t i) { return "\"127.0.0.1:" + std::to_string(ports_[i]) + "\""; };
+  std::string text =
+      "{\"max_unavailable\":1,\"program\":\"heronvane\",\"platform\":{\"listen\":" + address(kRelays) +
+      ",\"partners_file\":" + escaped(folder_.path() + "/partners.json") + "},\"instances\":[";
+  for (std::size_t i = 0; i < kRelays; i++)
+    text += std::string(i > 0 ? "," : "") + "{\"name\":\"n" + std::to_string(i) +
+            "\",\"listen\":" + address(i) + "}";
+  return text + "]}";
+}
+
+int Demonstration::run() {
+  struct sigaction ignore {
+  }, before{};
+  ignore.sa_handler = SIG_IGN;
+  ::sigaction(SIGPIPE, &ignore, &before);
+  for (const int s : {SIGINT, SIGTERM, SIGHUP}) ends_.add(s);
+  resized_.add(SIGWINCH);
+  const std::function<void()> wait_end = [&] {
+    ends_.async_wait([&](error_code bad, int) {
+      if (bad) return;
+      // Asked twice, it waits for nothing.
+      if (stage_ == Stage::draining) {
+        stop_agent();
+      } else if (stage_ == Stage::stopping) {
+        killed_ = true;
+      } else {
+        begin_end("asked to end");
+      }
+      wait_end();
+    });
+  };
+  const std::function<void()> wait_resized = [&] {
+    resized_.async_wait([&](error_code bad, int) {
+      if (bad) return;
+      show();
+      wait_resized();
+    });
+  };
+  wait_end();
+  wait_resized();
+  agent_.start();
+  watch_.emplace(io_, agent_.socket(), fleet(), [this](FleetWatch::Seen s) { seen(std::move(s)); });
+  if (drawn_) screen_.emplace(1);
+  tick();
+  io_.run();
+  screen_.reset();
+  const int exit = sum_up();
+  ::sigaction(SIGPIPE, &before, nullptr);
+  return exit;
+}
+
+void Demonstration::tick() {
+  step();
+  if (stage_ == Stage::over) return io_.stop();
+  timer_.expires_after(stage_ == Stage::running ? kTick : kTickEnding);
+  timer_.async_wait([this](error_code bad) {
+    if (!bad) tick();
+  });
+}
+
+void Demonstration::step() {
+  const auto now = Clock::now();
+  switch (stage_) {
+    case Stage::starting:
+      if (!last_.refused.empty()) {
+        failure_ = last_.refused;
+        begin_end("");
+        break;
+      }
+      if (now - started_ > kStartWithin) {
+        failure_ =
+            "the relays were not ready within 30 s" + (last_.trouble.empty() ? "" : ": " + last_.trouble);
+        begin_end("");
+        break;
+      }
+      watch_agent();
+      if (stage_ != Stage::starting || !last_.applied || last_.instances.size() != kRelays) break;
+      if (std::all_of(last_.instances.begin(), last_.instances.end(),
+                      [](const auto& i) { return i.ready; })) {
+        std::vector<standins::ClientsOptions::Relay> relays;
+        for (std::size_t i = 0; i < kRelays; i++)
+          relays.push_back({"n" + std::to_string(i), {net::ip::address_v4::loopback(), ports_[i]}});
+        world_.start_clients(std::move(relays));
+        happened("all relays are ready: clients begin");
+        headline_ = "Ctrl-C ends it";
+        stage_ = Stage::running;
+      }
+      break;
+    case Stage::running:
+      watch_agent();
+      world_.tick(standins::steady_time());
+      if (options_.seconds && now - started_ >= std::chrono::duration<double>(*options_.seconds))
+        begin_end("its time is over");
+      break;
+    case Stage::draining:
+      all_drained_ = !world_.clients_out() && drained();
+      if (all_drained_ || now - end_since_ > kDrainWithin) stop_agent();
+      break;
+    case Stage::stopping: {
+      std::string how;
+      const bool late = killed_ || now - end_since_ > kEndWithin;
+      if (late) agent_.signal(SIGKILL);
+      if (agent_.ended(how)) stage_ = Stage::over;
+      break;
+    }
+    case Stage::over:
+      break;
+  }
+  if (now - shown_ >= (drawn_ ? milliseconds(500) : milliseconds(1'000))) show();
+}
+
+void Demonstration::watch_agent() {
+  const auto now = Clock::now();
+  if (agent_.pid() > 0) {
+    std::string how;
+    if (!agent_.ended(how)) return;
+    if (stage_ == Stage::starting) {
+      failure_ = "heronvane-agent ended (" + how + ")";
+      return begin_end("");
+    }
+    happened("the agent ended (" + how + "): relays run on, it is started again");
+    agent_again_ = now + milliseconds(500);
+  } else if (now >= agent_again_) {
+    agent_.start();
+  }
+}
+
+void Demonstration::seen(FleetWatch::Seen s) {
+  if (s.trouble.empty() && s.refused.empty()) {
+    note_phases(s.instances);
+    last_ = std::move(s);
+  } else {
+    // What was last known stays on the screen.
+    last_.trouble = s.trouble, last_.refused = s.refused, last_.applied = s.applied;
+  }
+}
+
+void Demonstration::note_phases(const std::vector<Instance>& instances) {
+  for (const auto& i : instances) {
+    const auto it = phases_.find(i.name);
+    if (it != phases_.end() && stage_ == Stage::running) {
+      const auto& was = it->second;
+      if (was.phase != i.phase)
+        happened(i.name + ": " + was.phase + " -> " + i.phase +
+                 (i.phase == "backoff" || i.phase == "looping" ? " (" + i.last_exit + ")" : ""));
+      else if (was.pid != i.pid && i.pid > 0)
+        happened(i.name + ": runs anew, pid " + std::to_string(i.pid) +
+                 (i.last_exit.empty() ? "" : ", after " + i.last_exit));
+    }
+    phases_[i.name] = i;
+  }
+}
+
+bool Demonstration::drained() const {
+  return !last_.instances.empty() &&
+         std::all_of(last_.instances.begin(), last_.instances.end(),
+                     [](const auto& i) { return i.phase == "drained" && i.pid == 0; });
+}
+
+void Demonstration::begin_end(const std::string& why) {
+  if (!why.empty()) happened(why + ": relays drain");
+  headline_ = "ending: relays drain";
+  end_since_ = Clock::now();
+  const bool begun = stage_ == Stage::running;
+  world_.stop_clients();
+  if (!begun) return stop_agent();
+  stage_ = Stage::draining;
+  watch_->drain();
+}
+
+void Demonstration::stop_agent() {
+  stage_ = Stage::stopping;
+  watch_.reset();
+  agent_.signal(SIGTERM);
+}
+
+void Demonstration::happened(const std::string& what) {
+  happened_.push_front({elapsed_s(), what});
+  if (happened_.size() > kMostHappened) happened_.pop_back();
+  if (!drawn_) put(1, clock_time(elapsed_s()) + "  " + safe(what) + "\n");
+}
+
+DemoView Demonstration::view() {
+  DemoView v;
+  v.elapsed_s = elapsed_s();
+  v.headline = headline_;
+  if (!last_.trouble.empty() && stage_ == Stage::running) v.headline = "the agent does not answer";
+  for (std::size_t i = 0; i < kRelays; i++) {
+    DemoView::Relay r;
+    r.name = "n" + std::to_string(i), r.phase = "-";
+    for (const auto& one : last_.instances)
+      if (one.name == r.name) {
+        r.phase = one.phase, r.pid = one.pid, r.held = one.held, r.restarts = one.restarts;
+        v.totals.held += static_cast<std::uint64_t>(std::max<std::int64_t>(0, one.held));
+      }
+    v.relays.push_back(std::move(r));
+  }
+  world_.fill(v, last_.instances, standins::steady_time());
+  if (last_.agent.platform) v.totals.ended = static_cast<std::uint64_t>(last_.agent.platform->finals);
+  v.happened.assign(happened_.begin(), happened_.end());
+  const std::string tool = own_program() + " --agent " + agent_.socket();
+  v.tries = {{tool + " status", ""},
+             {"  in place of status: show n0, drain n1, undrain n1, restart --rolling, history", ""}};
+  if (const auto pid = v.relays.back().pid; pid > 0)
+    v.tries.push_back(
+        {"kill -9 " + std::to_string(pid), v.relays.back().name + ": it comes back and owes nothing"});
+  return v;
+}
+
+void Demonstration::show() {
+  shown_ = Clock::now();
+  const auto v = view();
+  if (drawn_) return screen_->draw(render_demo(v, style_of(1), terminal_size(1).rows));
+  if (stage_ != Stage::starting) put(1, plain_demo(v));
+  if (stage_ == Stage::running && !hints_told_) {
+    hints_told_ = true;
+    for (const auto& t : v.tries)
+      put(1, "  try: " + t.command + (t.why.empty() ? "" : "   # " + t.why) + "\n");
+  }
+}
+
+int Demonstration::sum_up() {
+  leftovers_ = end_leftovers(folder_.path());
+  const auto problem = settle_by_notices(agent_.data(), world_.ledger());
+  const auto n = world_.counts();
+  const auto& l = world_.ledger().totals();
+  if (!failure_.empty()) {
+    put(2, "heronvanectl: demo: " + safe(failure_) + "\n");
+    std::ifstream log(agent_.log());
+    std::deque<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+      lines.push_back(line);
+      if (lines.size() > 10) lines.pop_front();
+    }
+    for (const auto& line : lines) put(2, "  " + safe(line) + "\n");
+    return kRefused;
+  }
+  if (n.handed == 0) {
+    put(1, "demo: ended before clients began\n");
+    return kDone;
+  }
+  const std::uint64_t unanswered = n.silence + n.out, refused = n.refused + n.failed;
+  std::string text =
+      "demo: " + duration(elapsed_s() * 1000) + ", " + grouped(n.handed) + " messages handed in\n";
+  const auto line = [&](std::uint64_t count, const std::string& what) {
+    std::string digits = grouped(count);
+    text +=
+        "  " + std::string(digits.size() < 10 ? 10 - digits.size() : 0, ' ') + digits + "  " + what + "\n";
+  };
+  line(l.delivered, "delivered");
+  line(l.ended, "ended by a notice to the platform");
+  if (l.open > 0)
+    line(l.open,
+         all_drained_ ? "LOST: taken on, and neither" : "still held by relays that were not drained in time");
+  line(refused, "refused, after " + grouped(n.refusals) + " refusals of " + grouped(n.tries) + " tries");
+  if (unanswered > 0)
+    line(unanswered, "without an answer (" + grouped(l.delivered_unanswered) + " of them delivered)");
+  line(l.twice, "twice, of those that must not be");
+  line(l.repeated, "effects repeated of those that may be");
+  const bool adds_up =
+      l.delivered + l.ended + l.open == n.taken && n.taken + refused + unanswered == n.handed;
+  const bool lost = l.open > 0 && all_drained_;
+  if (!problem.empty()) text += "  notices could not be read: " + safe(problem) + "\n";
+  if (!adds_up) text += "  the counts DO NOT ADD UP: " + grouped(n.taken) + " were taken on\n";
+  if (leftovers_ > 0)
+    text +=
+        "  ended by force: " + count(static_cast<std::int64_t>(leftovers_), "process", "processes") + "\n";
+  put(1, text);
+  return adds_up && !lost && l.twice == 0 && problem.empty() ? kDone : kPartial;
+}
+
+}  // namespace
+
+int demo(const Demo& options) { return Demonstration(options).run(); }
+
+}  // namespace heronvane::cli
--- /dev/null
+++ b/cli/demo_ledger.cpp
@@ -0,0 +1,85 @@
+#include "demo_ledger.hpp"
+
+namespace heronvane::cli {
+
+using standins::Heard;
+
+void Ledger::sent(Time now, const std::string& id, bool unsafe) {
+  Entry& e = entries_[id];
+  e.sent = now, e.unsafe = unsafe;
+}
+
+void Ledger::heard(const std::string& id, Heard heard) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  Entry& e = it->second;
+  switch (heard) {
+    case Heard::taken:
+      e.said = Said::taken;
+      totals_.taken++;
+      if (e.delivered)
+        totals_.delivered++;
+      else
+        totals_.open++;
+      break;
+    case Heard::refused:
+    case Heard::failed:
+    case Heard::no_relay:
+      e.said = Said::refused;
+      look_for_breach(e);
+      break;
+    case Heard::silence:
+      e.said = Said::silence;
+      if (e.delivered) totals_.delivered_unanswered++;
+      break;
+  }
+}
+
+void Ledger::ran(const std::string& id) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  Entry& e = it->second;
+  e.ran++;
+  if (!e.unsafe && e.ran > 1) totals_.repeated++;
+  look_for_breach(e);
+}
+
+void Ledger::look_for_breach(Entry& e) {
+  const bool breach = (e.unsafe && e.ran > 1) || (e.said == Said::refused && e.ran > 0);
+  if (!breach || e.breach) return;
+  e.breach = true;
+  totals_.twice++;
+}
+
+void Ledger::delivered(Time now, const std::string& id) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || it->second.delivered) return;
+  Entry& e = it->second;
+  e.delivered = true;
+  latencies_.add(now, now - e.sent);
+  if (e.said == Said::silence) totals_.delivered_unanswered++;
+  if (e.said != Said::taken) return;
+  totals_.delivered++;
+  if (e.ended)
+    e.ended = false, totals_.ended--;
+  else
+    totals_.open--;
+}
+
+void Ledger::forget(Time before) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    const Entry& e = it->second;
+    const bool settled = e.said == Said::taken ? e.delivered || e.ended : e.said != Said::nothing;
+    it = settled && e.sent < before ? entries_.erase(it) : std::next(it);
+  }
+}
+
+void Ledger::settle(const std::function<bool(const std::string& id)>& noticed) {
+  for (auto& [id, e] : entries_) {
+    if (e.said != Said::taken || e.delivered || e.ended || !noticed(id)) continue;
+    e.ended = true;
+    totals_.ended++, totals_.open--;
+  }
+}
+
+}  // namespace heronvane::cli
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -167,6 +167,14 @@
         ->add_option("SHELL", text_)
         ->required()
         ->check(CLI::IsMember({"bash", "zsh", "fish"}));
+    auto* d = command("demo", [this] {
+      if (output_ == "json") throw CLI::ValidationError("demo", "has no json");
+      invocation_.command = Demo{seconds_ > 0 ? std::optional(seconds_) : std::nullopt, plain_};
+    });
+    d->add_option("--seconds", seconds_, "End after so many seconds, in place of Ctrl-C")
+        ->check(CLI::Range(1.0, 86400.0))
+        ->type_name("N");
+    d->add_flag("--plain", plain_, "A line a second in place of the screen");
     command("version", [this] { invocation_.command = Version{}; });
   }
   void one_agent(const char* command, const char* why) {
@@ -180,11 +188,11 @@
   std::function<void()> make_;
   std::string output_, text_;
   std::vector<std::string> names_;
-  double timeout_ = 0;
+  double timeout_ = 0, seconds_ = 0;
   std::uint64_t number_ = 0;
   unsigned max_unavailable_ = 0, limit_ = 20, lines_ = 100;
   bool all_ = false, rolling_ = false, no_wait_ = false, dry_run_ = false, yes_ = false, watch_ = false,
-       follow_ = false, version_flag_ = false, only_names_ = false;
+       follow_ = false, version_flag_ = false, only_names_ = false, plain_ = false;
   ChangeOptions options_;
 };
 
--- a/cli/run.cpp
+++ b/cli/run.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 
 #include "completion.hpp"
+#include "demo.hpp"
 
 namespace heronvane::cli {
 
@@ -178,6 +179,8 @@
   return kDone;
 }
 
+int Run::operator()(const Demo& c) { return demo(c); }
+
 int Run::operator()(const Version&) {
   const auto results = session_.ask<Both<AgentInfo>>([](Port& p) {
     auto json = p.get("/v1/agent");
@@ -213,6 +216,7 @@
     put(1, completion_script(c->shell));
     return kDone;
   }
+  if (const auto* c = std::get_if<Demo>(&invocation.command)) return demo(*c);
   Run run(invocation.global);
   run.prepare();
   return std::visit(run, invocation.command);
--- a/cli/run.hpp
+++ b/cli/run.hpp
@@ -32,6 +32,7 @@
   int operator()(const Cancel& c);
   int operator()(const ShowOperation& c);
   int operator()(const Completion& c);
+  int operator()(const Demo& c);
   int operator()(const Version&);
 
  private:
--- a/standins/behaviour.cpp
+++ b/standins/behaviour.cpp
@@ -1,6 +1,7 @@
 #include "behaviour.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <stdexcept>
 #include <string>
@@ -16,6 +17,12 @@
 
 }  // namespace
 
+Time steady_time() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
 Time Spell::left(Time since_start) const {
   if (every <= 0 || since_start < every) return 0;
   return std::max<Time>(0, lasts - since_start % every);
--- a/standins/behaviour.hpp
+++ b/standins/behaviour.hpp
@@ -9,6 +9,7 @@
 namespace heronvane::standins {
 
 using Time = std::int64_t;  // microseconds
+Time steady_time();         // the clock that stands in where none is handed in
 
 // Comes back each `every`, first after one whole `every`, and stays for `lasts`. 0: never.
 struct Spell {
--- a/standins/clients.cpp
+++ b/standins/clients.cpp
@@ -48,11 +48,7 @@
       : io_(io), options_(std::move(o)), traffic_(options_.plan, options_.seed), timer_(io) {
     relays_.resize(options_.relays.size());
   }
-  Time now() const {
-    if (options_.now) return options_.now();
-    return std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-  }
+  Time now() const { return options_.now ? options_.now() : steady_time(); }
   void next();
   void send(Job job);
   void ended(Job job, std::size_t relay, Heard heard, Time latency, Time told);
--- a/standins/endpoint.cpp
+++ b/standins/endpoint.cpp
@@ -25,12 +25,6 @@
 
 constexpr std::size_t kMostBody = 4 << 20;  // of a bundle
 
-Time steady() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 // Ids of a bundle; nothing where it is none.
 std::optional<std::vector<std::string>> ids_of(const std::string& body) {
   rapidjson::Document v;
@@ -65,7 +59,7 @@
         acceptor_(io, {net::ip::address_v4::loopback(), 0}) {}
   void accept();
   void shut();
-  Time now() const { return options_.now ? options_.now() : steady(); }
+  Time now() const { return options_.now ? options_.now() : steady_time(); }
   void ran(const std::vector<std::string>& ids) {
     for (const auto& id : ids)
       if (options_.ran) options_.ran(id);
