--- a/cli/client.cpp
+++ b/cli/client.cpp
@@ -28,7 +28,6 @@
 class Reading {
  public:
   explicit Reading(Stream& stream) : stream_(stream) {
-    parser_.eager(true);
     parser_.header_limit(16 * 1024);
     parser_.body_limit(kMostAnswer);
   }
@@ -57,7 +56,14 @@
         throw MalformedAnswer("the answer is larger than " +
                               std::string(e == http::error::body_limit ? "16 MiB" : "16 KiB of headers"));
       if (e) throw MalformedAnswer("the answer is no HTTP: " + e.message());
-      if (used == 0) break;
+      // Room is made for the length that is told, so that it is judged before the parser goes on to the body.
+      if (!parser_.is_header_done() || parser_.eager()) {
+        if (used == 0) break;
+        continue;
+      }
+      if (parser_.content_length().value_or(0) > kMostAnswer)
+        throw MalformedAnswer("the answer is larger than 16 MiB");
+      parser_.eager(true);
     }
     return !parser_.is_done();
   }
--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -42,6 +42,11 @@
   }));
 }
 
+std::size_t done_steps(const Operation& o) {
+  return static_cast<std::size_t>(
+      std::count_if(o.steps.begin(), o.steps.end(), [](const Step& s) { return s.state == "done"; }));
+}
+
 // "operation 7 (restart by ana@web1 pid 71)"
 std::string named(const Operation& o) {
   return "operation " + std::to_string(o.id) + " (" + o.kind + (o.by.empty() ? "" : " by " + o.by) + ")";
@@ -183,8 +188,8 @@
                              {i.phase, phase_tone(i.phase)},
                              {i.desired},
                              {since(i.since_ms, now_ms)},
-                             {runs ? std::to_string(i.held) : "-"},
-                             {runs && i.held > 0 ? duration(i.oldest_ms) : "-"},
+                             {runs || i.held > 0 ? std::to_string(i.held) : "-"},
+                             {i.held > 0 ? duration(i.oldest_ms) : "-"},
                              {std::to_string(i.restarts)},
                              {i.operation > 0 ? std::to_string(i.operation) : "-"},
                              {i.listen}});
@@ -229,7 +234,7 @@
     row.insert(row.end(), {{std::to_string(o->id)},
                            {o->kind},
                            {o->state, state_tone(o->state)},
-                           {std::to_string(ended_steps(*o)) + "/" + std::to_string(o->steps.size())},
+                           {std::to_string(done_steps(*o)) + "/" + std::to_string(o->steps.size())},
                            {since(o->created_ms, now_ms)},
                            {duration(end - o->created_ms)},
                            {std::to_string(o->generation)},
@@ -245,10 +250,8 @@
   if (!told.label.empty()) head = told.label + ": " + head;
   if (o.state == "superseded" && o.superseded_by > 0)
     head += " by operation " + std::to_string(o.superseded_by);
-  const auto done =
-      std::count_if(o.steps.begin(), o.steps.end(), [](const Step& s) { return s.state == "done"; });
   if (!o.steps.empty())
-    head += ", " + std::to_string(done) + " of " +
+    head += ", " + std::to_string(done_steps(o)) + " of " +
             count(static_cast<std::int64_t>(o.steps.size()), "step", "steps") + " done";
   if (o.created_ms > 0)
     head +=
@@ -257,12 +260,14 @@
   if (!o.by.empty()) out += "by " + safe(o.by) + ", " + moment(o.created_ms) + "\n";
   if (!o.message.empty()) out += wrapped(safe(o.message), 0, style.width);
   if (!o.steps.empty()) {
-    Table table({{"INSTANCE"}, {"STATE"}, {"FOR", 1, true}, {"WHAT"}});
-    for (const auto& s : o.steps)
-      table.row({{s.instance},
-                 {s.state, state_tone(s.state)},
-                 {s.state == "acting" ? since(s.since_ms, now_ms) : "-"},
-                 {s.what}});
+    std::vector<Table::Column> titles{{"INSTANCE"}, {"STATE"}, {"WHAT"}};
+    if (o.running()) titles.insert(titles.begin() + 2, {"FOR", 1, true});
+    Table table(titles);
+    for (const auto& s : o.steps) {
+      std::vector<Table::Cell> row{{s.instance}, {s.state, state_tone(s.state)}, {s.what}};
+      if (o.running()) row.insert(row.begin() + 2, {s.state == "acting" ? since(s.since_ms, now_ms) : "-"});
+      table.row(std::move(row));
+    }
     out += "\n" + table.text(style);
   }
   if (o.state == "failed" && o.kind == "apply")
--- a/cli/render_detail.cpp
+++ b/cli/render_detail.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-// "held      3, the oldest for 812ms"
+// "held         3, the oldest for 812ms"
 void field(std::string& out, const std::string& name, const std::string& value, const Style& style) {
-  constexpr std::size_t kName = 11;
+  constexpr std::size_t kName = 13;
   auto text = wrapped(safe(value), kName, style.width);
   const auto head = name + std::string(name.size() < kName ? kName - name.size() : 1, ' ');
   out += toned(head, Tone::dim, style) + text.substr(std::min(kName, text.size()));
--- a/cli/session.cpp
+++ b/cli/session.cpp
@@ -242,17 +242,17 @@
   bool first = true;
   persist([&](Attempt& attempt) {
     const auto n = first ? lines : overlap.known();
+    if (!first) overlap.broke();
     auto a = client_.follow("/v1/instances/" + instance + "/log?lines=" + std::to_string(n) + "&follow=1",
                             patience_, kSilent, [&](std::string_view bytes) {
                               attempt.connected = true;
+                              first = false;
                               if (!bytes.empty()) attempt.got_on = true;
                               const auto fresh = overlap.add(bytes);
                               if (!fresh.empty()) take(fresh);
                               return true;
                             });
     if (a.status != 200 || a.api == 0) checked(std::move(a), false);
-    first = false;
-    overlap.broke();
     return false;
   });
 }
--- a/tests/cli/client_test.cpp
+++ b/tests/cli/client_test.cpp
@@ -49,7 +49,8 @@
 };
 
 std::string ok(const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nX-Heronvane-Api: 1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 200 OK\r\nX-Heronvane-Api: 1\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 const std::string kChunked = "HTTP/1.1 200 OK\r\nX-Heronvane-Api: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -114,7 +115,8 @@
 
 TEST(Client, RefusesOversizedAnswers) {
   Scripted s;
-  s.connections.push_back({{"HTTP/1.1 200 OK\r\nX-Heronvane-Api: 1\r\nContent-Length: 99999999999\r\n\r\nx"}});
+  s.connections.push_back(
+      {{"HTTP/1.1 200 OK\r\nX-Heronvane-Api: 1\r\nContent-Length: 99999999999\r\n\r\nx"}});
   EXPECT_THROW(Client(s).get("/a", {}), MalformedAnswer);
   // One that does not say its size beforehand.
   Scripted t;
@@ -154,10 +156,11 @@
 TEST(Client, AnErrorInPlaceOfAStreamIsReturnedWhole) {
   Scripted s;
   s.connections.push_back({{"HTTP/1.1 404 X\r\nX-Heronvane-Api: 1\r\nContent-Length: 2\r\n\r\n", "{}"}});
-  const auto a = Client(s).follow("/f", std::chrono::seconds(1), std::chrono::seconds(1), [](std::string_view) {
-    ADD_FAILURE();
-    return true;
-  });
+  const auto a =
+      Client(s).follow("/f", std::chrono::seconds(1), std::chrono::seconds(1), [](std::string_view) {
+        ADD_FAILURE();
+        return true;
+      });
   EXPECT_EQ(a.status, 404u);
   EXPECT_EQ(a.body, "{}");
 }
--- a/tests/cli/stand_in.cpp
+++ b/tests/cli/stand_in.cpp
@@ -20,6 +20,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <utility>
 
 namespace heronvane::cli::test {
 
@@ -53,12 +54,13 @@
 }
 
 Reply Reply::json(const std::string& body, int status) {
-  return raw(head(status, "application/json") + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  return raw(head(status, "application/json") + "Content-Length: " + std::to_string(body.size()) +
+             "\r\n\r\n" + body);
 }
 Reply Reply::error(int status, const std::string& code, const std::string& message, const std::string& hint,
                    const std::string& more) {
-  return json("{\"error\":{\"code\":\"" + code + "\",\"message\":\"" + message + "\",\"hint\":\"" + hint + "\"" + more +
-                  "}}",
+  return json("{\"error\":{\"code\":\"" + code + "\",\"message\":\"" + message + "\",\"hint\":\"" + hint +
+                  "\"" + more + "}}",
               status);
 }
 Reply Reply::raw(const std::string& bytes) {
@@ -172,7 +174,8 @@
 
 // A connection's bytes, plain or over TLS.
 struct StandIn::Line {
-  Line(int f, int s, SSL_CTX* context) : fd(f), stop(s), tls(context != nullptr ? SSL_new(context) : nullptr) {
+  Line(int f, int s, SSL_CTX* context)
+      : fd(f), stop(s), tls(context != nullptr ? SSL_new(context) : nullptr) {
     if (tls != nullptr) SSL_set_fd(tls, fd);
   }
   ~Line() {
@@ -191,15 +194,17 @@
   bool read(std::string& to) const {
     if (!readable()) return false;
     char room[4096];
-    const auto n = tls != nullptr ? SSL_read(tls, room, sizeof room) : static_cast<int>(::read(fd, room, sizeof room));
+    const auto n =
+        tls != nullptr ? SSL_read(tls, room, sizeof room) : static_cast<int>(::read(fd, room, sizeof room));
     if (n > 0) to.append(room, static_cast<std::size_t>(n));
     return n > 0;
   }
   bool write(const std::string& bytes) const {
     std::size_t at = 0;
     while (at < bytes.size()) {
-      const auto n = tls != nullptr ? SSL_write(tls, bytes.data() + at, static_cast<int>(bytes.size() - at))
-                                    : static_cast<int>(::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL));
+      const auto n = tls != nullptr
+                         ? SSL_write(tls, bytes.data() + at, static_cast<int>(bytes.size() - at))
+                         : static_cast<int>(::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL));
       if (n <= 0) return false;
       at += static_cast<std::size_t>(n);
     }
@@ -238,7 +243,8 @@
   }
 }
 
-Tool::Tool(const std::vector<std::string>& arguments, bool terminal, const std::vector<std::string>& environment) {
+Tool::Tool(const std::vector<std::string>& arguments, bool terminal,
+           const std::vector<std::string>& environment) {
   std::vector<std::string> words{HERONVANECTL};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<std::string> set{"PATH=/usr/bin:/bin", "TERM=xterm", "LSAN_OPTIONS=exitcode=99"};
@@ -346,16 +352,19 @@
 }
 
 void script_fleet(StandIn& agent, const std::string& name) {
-  agent.on("GET /v1/agent", R"({"name":")" + name + R"(","version":"0.2.0","api":1,"pid":71,"started_ms":1000,)"
-                            R"("generation":12,"instances":3,"ready":2,"operation":0})");
+  agent.on("GET /v1/agent", R"({"name":")" + name +
+                                R"(","version":"0.2.0","api":1,"pid":71,"started_ms":1000,)"
+                                R"("generation":12,"instances":3,"ready":2,"operation":0})");
   const auto instance = [](const std::string& n, const std::string& more) {
     return R"({"name":")" + n + R"(","listen":"127.0.0.1:808)" + n.back() +
            R"(","desired":"running","run":"0123456789abcdef","since_ms":1000,"generation":12,"wanted_generation":12,)" +
            more + "}";
   };
-  const auto n0 = instance("n0", R"("phase":"ready","pid":81,"ready":true,"held":3,"oldest_ms":812,"restarts":0)");
+  const auto n0 =
+      instance("n0", R"("phase":"ready","pid":81,"ready":true,"held":3,"oldest_ms":812,"restarts":0)");
   const auto n1 = instance("n1", R"("phase":"ready","pid":82,"ready":true,"held":0,"restarts":0)");
-  const auto n2 = instance("n2", R"("phase":"backoff","pid":0,"restarts":2,"last_exit":"signal 9","next_start_ms":1)");
+  const auto n2 =
+      instance("n2", R"("phase":"backoff","pid":0,"restarts":2,"last_exit":"signal 9","next_start_ms":1)");
   agent.on("GET /v1/instances", R"({"generation":12,"instances":[)" + n0 + "," + n1 + "," + n2 + "]}");
   agent.on("GET /v1/instances/n0", n0);
   agent.on("GET /v1/instances/n1", n1);
@@ -363,9 +372,10 @@
   agent.on("GET /v1/fleet", R"({"generation":12,"fleet":{}})");
 }
 
-std::string operation_json(int id, const std::string& kind, const std::string& state, const std::string& steps,
-                           const std::string& more) {
-  return "{\"id\":" + std::to_string(id) + ",\"kind\":\"" + kind + "\",\"by\":\"ana@web1 pid 71\",\"state\":\"" + state +
+std::string operation_json(int id, const std::string& kind, const std::string& state,
+                           const std::string& steps, const std::string& more) {
+  return "{\"id\":" + std::to_string(id) + ",\"kind\":\"" + kind +
+         "\",\"by\":\"ana@web1 pid 71\",\"state\":\"" + state +
          "\",\"generation\":13,\"created_ms\":1000,\"ended_ms\":" + (state == "running" ? "0" : "13000") +
          ",\"message\":\"\",\"superseded_by\":0,\"steps\":[" + steps + "],\"diff\":[]" + more + "}";
 }
--- a/tests/cli/stand_in.hpp
+++ b/tests/cli/stand_in.hpp
@@ -1,4 +1,5 @@
-// An agent that answers by script, on a Unix socket in a temporary folder or over TLS; and the built tool, run.
+// An agent that answers by script, on a Unix socket in a temporary folder or over TLS; and the built tool,
+// run.
 #pragma once
 
 #include <openssl/ssl.h>
@@ -35,10 +36,11 @@
 class Reply {
  public:
   static Reply json(const std::string& body, int status = 200);
-  static Reply error(int status, const std::string& code, const std::string& message, const std::string& hint = "",
-                     const std::string& more = "");
+  static Reply error(int status, const std::string& code, const std::string& message,
+                     const std::string& hint = "", const std::string& more = "");
   static Reply raw(const std::string& bytes);
-  static Reply chunked(const std::vector<std::string>& pieces, bool ended, const std::string& type = "application/json");
+  static Reply chunked(const std::vector<std::string>& pieces, bool ended,
+                       const std::string& type = "application/json");
   Reply& api(const std::string& version);  // the header's value; "" leaves it out
   Reply& then_hold();                      // the connection stays, and nothing more is sent
   Reply& then_close();
@@ -59,7 +61,9 @@
 
   // The nth request of this method and target gets the nth reply; later ones the last.
   void on(const std::string& method_and_target, const Reply& reply);
-  void on(const std::string& method_and_target, const std::string& json) { on(method_and_target, Reply::json(json)); }
+  void on(const std::string& method_and_target, const std::string& json) {
+    on(method_and_target, Reply::json(json));
+  }
   std::vector<Request> requests(const std::string& method_and_target = "");
   // Waits for so many requests of this method and target.
   bool saw(const std::string& method_and_target, std::size_t n = 1);
@@ -97,9 +101,9 @@
   Tool(const Tool&) = delete;
   Tool& operator=(const Tool&) = delete;
   void signal(int number) const;
-  void type(const std::string& text) const;     // on its terminal
-  bool wrote(const std::string& text);          // waits for it on standard output (or the terminal)
-  bool complained(const std::string& text);     // waits for it on standard error
+  void type(const std::string& text) const;  // on its terminal
+  bool wrote(const std::string& text);       // waits for it on standard output (or the terminal)
+  bool complained(const std::string& text);  // waits for it on standard error
   Result finish();
 
  private:
@@ -117,7 +121,7 @@
 
 // What agents answer, of one instance "n0", "n1", "n2" where nothing else is scripted.
 void script_fleet(StandIn& agent, const std::string& name = "web1");
-std::string operation_json(int id, const std::string& kind, const std::string& state, const std::string& steps,
-                           const std::string& more = "");
+std::string operation_json(int id, const std::string& kind, const std::string& state,
+                           const std::string& steps, const std::string& more = "");
 
 }  // namespace heronvane::cli::test
