--- /dev/null
+++ b/fleet/database.cpp
@@ -0,0 +1,380 @@
+#include "database.hpp"
+
+#include <sqlite3.h>
+#include <sys/stat.h>
+
+#include <array>
+#include <sstream>
+
+namespace heronvane::fleet {
+
+namespace {
+
+// Raised by one for each change of the tables; each step of migrate() leads to the next.
+constexpr int kVersion = 1;
+
+constexpr const char* kTables = R"(
+CREATE TABLE state(one INTEGER PRIMARY KEY CHECK(one = 1), generation INTEGER NOT NULL,
+  last_operation INTEGER NOT NULL);
+INSERT INTO state VALUES(1, 0, 0);
+CREATE TABLE fleets(generation INTEGER PRIMARY KEY, applied INTEGER NOT NULL, text TEXT NOT NULL);
+CREATE TABLE instances(name TEXT PRIMARY KEY, listen TEXT NOT NULL, desired INTEGER NOT NULL,
+  changed INTEGER NOT NULL, wanted INTEGER NOT NULL, config INTEGER NOT NULL, digest TEXT NOT NULL,
+  fence INTEGER NOT NULL, run TEXT NOT NULL, live INTEGER NOT NULL, pid INTEGER NOT NULL,
+  start_time INTEGER NOT NULL, boot TEXT NOT NULL, retire TEXT NOT NULL, drain_kept INTEGER NOT NULL,
+  ended_drained INTEGER NOT NULL, removing INTEGER NOT NULL, restarts INTEGER NOT NULL,
+  last_exit TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE operations(id INTEGER PRIMARY KEY, kind INTEGER NOT NULL, by TEXT NOT NULL, state INTEGER NOT NULL,
+  generation INTEGER NOT NULL, max_unavailable INTEGER NOT NULL, created INTEGER NOT NULL,
+  ended INTEGER NOT NULL, message TEXT NOT NULL, superseded_by INTEGER NOT NULL, diff TEXT NOT NULL);
+CREATE TABLE steps(operation INTEGER NOT NULL REFERENCES operations(id) ON DELETE CASCADE,
+  position INTEGER NOT NULL, instance TEXT NOT NULL, state INTEGER NOT NULL, what TEXT NOT NULL,
+  since INTEGER NOT NULL, run_before TEXT NOT NULL, work INTEGER NOT NULL,
+  PRIMARY KEY(operation, position)) WITHOUT ROWID;
+CREATE TABLE history(number INTEGER PRIMARY KEY AUTOINCREMENT, at INTEGER NOT NULL, about TEXT NOT NULL,
+  text TEXT NOT NULL);
+)";
+
+template <class Enum>
+Enum read_enum(std::int64_t v, Enum last, const char* what) {
+  if (v < 0 || v > static_cast<std::int64_t>(last))
+    throw DatabaseError(std::string("database: ") + what + " has the value " + std::to_string(v));
+  return static_cast<Enum>(v);
+}
+
+// Lines hold no line breaks: each is made of names and JSON.
+std::string joined(const std::vector<std::string>& lines) {
+  std::string all;
+  for (const auto& l : lines) all.append(l).append(1, '\n');
+  return all;
+}
+std::vector<std::string> split(const std::string& text) {
+  std::vector<std::string> lines;
+  std::istringstream in(text);
+  for (std::string line; std::getline(in, line);) lines.push_back(line);
+  return lines;
+}
+
+}  // namespace
+
+class Database::Statement {
+ public:
+  Statement(sqlite3* db, const char* sql) : db_(db) {
+    if (sqlite3_prepare_v2(db, sql, -1, &s_, nullptr) != SQLITE_OK) fail();
+  }
+  ~Statement() { sqlite3_finalize(s_); }
+  Statement(const Statement&) = delete;
+  Statement& operator=(const Statement&) = delete;
+
+  template <class... T>
+  Statement& bind(const T&... values) {
+    at_ = 0;
+    sqlite3_reset(s_);
+    (put(values), ...);
+    return *this;
+  }
+  bool next() {
+    const int got = sqlite3_step(s_);
+    if (got != SQLITE_ROW && got != SQLITE_DONE) fail();
+    column_ = 0;
+    return got == SQLITE_ROW;
+  }
+  std::int64_t number() { return sqlite3_column_int64(s_, column_++); }
+  std::uint64_t count() { return static_cast<std::uint64_t>(number()); }
+  bool flag() { return number() != 0; }
+  std::string text() {
+    const auto* bytes = static_cast<const char*>(sqlite3_column_blob(s_, column_));
+    const auto size = static_cast<std::size_t>(sqlite3_column_bytes(s_, column_++));
+    return bytes == nullptr ? std::string() : std::string(bytes, size);
+  }
+
+ private:
+  [[noreturn]] void fail() { throw DatabaseError(std::string("database: ") + sqlite3_errmsg(db_)); }
+  void check(int got) {
+    if (got != SQLITE_OK) fail();
+  }
+  void put(const std::string& v) {
+    check(sqlite3_bind_text64(s_, ++at_, v.data(), v.size(), SQLITE_TRANSIENT, SQLITE_UTF8));
+  }
+  template <class T>
+  void put(const T& v) {
+    check(sqlite3_bind_int64(s_, ++at_, static_cast<sqlite3_int64>(v)));
+  }
+  sqlite3* db_;
+  sqlite3_stmt* s_ = nullptr;
+  int at_ = 0, column_ = 0;
+};
+
+void Database::Close::operator()(sqlite3* db) const { sqlite3_close_v2(db); }
+
+void Database::run(const char* sql) {
+  char* why = nullptr;
+  if (sqlite3_exec(db_.get(), sql, nullptr, nullptr, &why) == SQLITE_OK) return;
+  const std::string text = why != nullptr ? why : sqlite3_errmsg(db_.get());
+  sqlite3_free(why);
+  throw DatabaseError("database: " + text);
+}
+
+Database::Database(const std::string& file, DatabaseOptions options) : options_(options) {
+  sqlite3* opened = nullptr;
+  const int got =
+      sqlite3_open_v2(file.c_str(), &opened, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
+  db_.reset(opened);
+  if (got != SQLITE_OK)
+    throw DatabaseError("database: " + file + ": " +
+                        (opened == nullptr ? "no memory" : sqlite3_errmsg(opened)));
+  ::chmod(file.c_str(), 0600);
+  sqlite3_extended_result_codes(opened, 1);
+  sqlite3_busy_timeout(opened, 2'000);
+  // Looked at before anything is written: a newer program's file stays as it is.
+  migrate();
+  if (options_.most_pages > 0) limit_pages(options_.most_pages);
+}
+
+Database::~Database() = default;
+
+void Database::limit_pages(int most) {
+  run(("PRAGMA max_page_count=" + std::to_string(most > 0 ? most : 1'073'741'823)).c_str());
+}
+
+void Database::migrate() {
+  Statement ask(db_.get(), "PRAGMA user_version");
+  ask.next();
+  const auto version = ask.number();
+  ask.bind();
+  if (version > kVersion)
+    throw DatabaseError("database: its version is " + std::to_string(version) +
+                        ", this program knows up to " + std::to_string(kVersion) +
+                        ": run the newer heronvane-agent");
+  run("PRAGMA journal_mode=WAL");
+  run("PRAGMA synchronous=FULL");
+  run("PRAGMA foreign_keys=ON");
+  run("PRAGMA journal_size_limit=4194304");
+  if (version == kVersion) return;
+  run("BEGIN IMMEDIATE");
+  if (version < 1) run(kTables);
+  run(("PRAGMA user_version=" + std::to_string(kVersion)).c_str());
+  run("COMMIT");
+}
+
+std::string Database::save(Time now, const action::Record& record,
+                           const std::map<std::string, ProcessId>& processes) {
+  try {
+    run("BEGIN IMMEDIATE");
+    write(now, record, processes);
+    prune();
+    run("COMMIT");
+    return {};
+  } catch (const std::exception& e) {
+    // Some errors have rolled it back already.
+    if (sqlite3_get_autocommit(db_.get()) == 0) sqlite3_exec(db_.get(), "ROLLBACK", nullptr, nullptr, nullptr);
+    return e.what();
+  }
+}
+
+void Database::write(Time now, const action::Record& record,
+                     const std::map<std::string, ProcessId>& processes) {
+  Statement(db_.get(), "UPDATE state SET generation=?, last_operation=?")
+      .bind(record.generation, record.last_operation)
+      .next();
+  if (record.fleet)
+    Statement(db_.get(), "INSERT OR REPLACE INTO fleets VALUES(?,?,?)")
+        .bind(record.generation, now, record.fleet->text)
+        .next();
+  for (const auto& o : record.operations) write_operation(now, o);
+  for (const auto& row : record.instances) write_instance(now, row, processes);
+  for (const auto& name : record.removed) {
+    Statement(db_.get(), "DELETE FROM instances WHERE name=?").bind(name).next();
+    note(now, "instance " + name, "removed");
+  }
+}
+
+void Database::write_operation(Time now, const Operation& o) {
+  const std::string about = "operation " + std::to_string(o.id);
+  std::map<std::int64_t, std::int64_t> before;  // states of its steps
+  std::optional<std::int64_t> state;
+  {
+    Statement s(db_.get(), "SELECT state FROM operations WHERE id=?");
+    if (s.bind(o.id).next()) state = s.number();
+    Statement steps(db_.get(), "SELECT position, state FROM steps WHERE operation=?");
+    steps.bind(o.id);
+    while (steps.next()) {
+      const auto position = steps.number();
+      before[position] = steps.number();
+    }
+  }
+  Statement(db_.get(),
+            "INSERT INTO operations VALUES(?,?,?,?,?,?,?,?,?,?,?) ON CONFLICT(id) DO UPDATE SET "
+            "kind=excluded.kind, by=excluded.by, state=excluded.state, generation=excluded.generation, "
+            "max_unavailable=excluded.max_unavailable, created=excluded.created, ended=excluded.ended, "
+            "message=excluded.message, superseded_by=excluded.superseded_by, diff=excluded.diff")
+      .bind(o.id, o.kind, o.by, o.state, o.generation, o.max_unavailable, o.created, o.ended, o.message,
+            o.superseded_by, joined(o.diff))
+      .next();
+  if (state != static_cast<std::int64_t>(o.state))
+    note(now, about,
+         std::string(word(o.kind)) + " by " + o.by + ": " + std::string(word(o.state)) +
+             (o.message.empty() ? "" : ": " + o.message));
+  Statement drop(db_.get(), "DELETE FROM steps WHERE operation=? AND position>=?");
+  drop.bind(o.id, o.steps.size()).next();
+  Statement put(db_.get(), "INSERT OR REPLACE INTO steps VALUES(?,?,?,?,?,?,?,?)");
+  for (std::size_t i = 0; i < o.steps.size(); i++) {
+    const auto& s = o.steps[i];
+    put.bind(o.id, i, s.instance, s.state, s.what, s.since, s.run_before, s.work).next();
+    const auto was = before.find(static_cast<std::int64_t>(i));
+    if (was != before.end() && was->second != static_cast<std::int64_t>(s.state))
+      note(now, about, s.instance + ": " + std::string(word(s.state)) + (s.what.empty() ? "" : ": " + s.what));
+  }
+}
+
+void Database::write_instance(Time now, const InstanceRow& row,
+                              const std::map<std::string, ProcessId>& processes) {
+  {
+    Statement s(db_.get(), "SELECT run, live, last_exit FROM instances WHERE name=?");
+    const bool known = s.bind(row.name).next();
+    const std::string run = known ? s.text() : "";
+    const bool live = known && s.flag();
+    const std::string about = "instance " + row.name;
+    if (row.run != run) note(now, about, "run " + row.run);
+    if (live && !row.live) note(now, about, "ended: " + row.last_exit);
+  }
+  const auto it = processes.find(row.name);
+  const bool same = row.live && it != processes.end() && it->second.pid == row.pid;
+  Statement(db_.get(), "INSERT OR REPLACE INTO instances VALUES(?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?,?)")
+      .bind(row.name, row.listen, row.desired, row.changed, row.wanted, row.config, row.digest, row.fence,
+            row.run, row.live, row.pid, same ? it->second.start_time : 0,
+            same ? it->second.boot : std::string(), row.retire, row.drain_kept, row.ended_drained,
+            row.removing, row.restarts, row.last_exit)
+      .next();
+}
+
+void Database::note(Time now, const std::string& about, const std::string& text) {
+  Statement(db_.get(), "INSERT INTO history(at, about, text) VALUES(?,?,?)").bind(now, about, text).next();
+}
+
+void Database::prune() {
+  Statement(db_.get(),
+            "DELETE FROM operations WHERE state<>0 AND id<=(SELECT id FROM operations WHERE state<>0 "
+            "ORDER BY id DESC LIMIT 1 OFFSET ?)")
+      .bind(options_.operations_kept)
+      .next();
+  Statement(db_.get(), "DELETE FROM history WHERE number<=(SELECT max(number) FROM history)-?")
+      .bind(options_.history_kept)
+      .next();
+  // Whatever an instance runs with or shall run with stays: the newest fleet that is not above its generation.
+  Statement(db_.get(),
+            "DELETE FROM fleets WHERE generation<=(SELECT generation FROM fleets ORDER BY generation DESC "
+            "LIMIT 1 OFFSET ?) AND generation<(SELECT coalesce(min(least),9223372036854775807) FROM (SELECT "
+            "(SELECT max(f.generation) FROM fleets f WHERE f.generation<=i.wanted) AS least FROM instances i))")
+      .bind(options_.fleets_kept)
+      .next();
+}
+
+Restored Database::restore(const ReadFleet& read) {
+  Restored r;
+  {
+    Statement s(db_.get(), "SELECT generation, last_operation FROM state");
+    if (!s.next()) throw DatabaseError("database: it has no state");
+    r.generation = s.count();
+    r.last_operation = s.count();
+  }
+  {
+    Statement s(db_.get(), "SELECT text FROM fleets ORDER BY generation DESC LIMIT 1");
+    if (s.next()) r.fleet = read(s.text());
+  }
+  {
+    Statement s(db_.get(),
+                "SELECT name, listen, desired, changed, wanted, config, digest, fence, run, live, pid, retire, "
+                "drain_kept, ended_drained, removing, restarts, last_exit FROM instances ORDER BY name");
+    while (s.next()) {
+      InstanceRow row;
+      row.name = s.text();
+      row.listen = s.text();
+      row.desired = read_enum(s.number(), Desired::stopped, "desired");
+      row.changed = s.count();
+      row.wanted = s.count();
+      row.config = s.count();
+      row.digest = s.text();
+      row.fence = s.count();
+      row.run = s.text();
+      row.live = s.flag();
+      row.pid = static_cast<int>(s.number());
+      row.retire = s.text();
+      row.drain_kept = s.flag();
+      row.ended_drained = s.flag();
+      row.removing = s.flag();
+      row.restarts = s.count();
+      row.last_exit = s.text();
+      r.instances.push_back(std::move(row));
+    }
+  }
+  Statement s(db_.get(),
+              "SELECT id, kind, by, state, generation, max_unavailable, created, ended, message, "
+              "superseded_by, diff FROM operations ORDER BY id");
+  Statement steps(db_.get(),
+                  "SELECT instance, state, what, since, run_before, work FROM steps WHERE operation=? ORDER BY "
+                  "position");
+  while (s.next()) {
+    Operation o;
+    o.id = s.count();
+    o.kind = read_enum(s.number(), Kind::rollback, "kind");
+    o.by = s.text();
+    o.state = read_enum(s.number(), OperationState::superseded, "state");
+    o.generation = s.count();
+    o.max_unavailable = static_cast<int>(s.number());
+    o.created = s.number();
+    o.ended = s.number();
+    o.message = s.text();
+    o.superseded_by = s.count();
+    o.diff = split(s.text());
+    steps.bind(o.id);
+    while (steps.next()) {
+      Step step;
+      step.instance = steps.text();
+      step.state = read_enum(steps.number(), StepState::skipped, "state of a step");
+      step.what = steps.text();
+      step.since = steps.number();
+      step.run_before = steps.text();
+      step.work = read_enum(steps.number(), Step::Work::rewrite, "work");
+      o.steps.push_back(std::move(step));
+    }
+    r.operations.push_back(std::move(o));
+  }
+  return r;
+}
+
+std::map<std::string, ProcessId> Database::processes() {
+  std::map<std::string, ProcessId> all;
+  Statement s(db_.get(), "SELECT name, pid, start_time, boot FROM instances WHERE live<>0 AND start_time<>0");
+  while (s.next()) {
+    const std::string name = s.text();
+    ProcessId id;
+    id.pid = static_cast<pid_t>(s.number());
+    id.start_time = s.count();
+    id.boot = s.text();
+    all.emplace(name, std::move(id));
+  }
+  return all;
+}
+
+std::optional<std::string> Database::fleet_at(Generation generation) {
+  Statement s(db_.get(), "SELECT text FROM fleets WHERE generation<=? ORDER BY generation DESC LIMIT 1");
+  if (!s.bind(generation).next()) return {};
+  return s.text();
+}
+
+std::vector<HistoryLine> Database::history(int limit) {
+  std::vector<HistoryLine> all;
+  Statement s(db_.get(), "SELECT at, about, text FROM history ORDER BY number DESC LIMIT ?");
+  s.bind(limit);
+  while (s.next()) {
+    HistoryLine line;
+    line.at = s.number();
+    line.about = s.text();
+    line.text = s.text();
+    all.push_back(std::move(line));
+  }
+  return all;
+}
+
+}  // namespace heronvane::fleet
--- /dev/null
+++ b/fleet/fleet_file.cpp
@@ -0,0 +1,220 @@
+#include "fleet_file.hpp"
+
+#include <algorithm>
+#include <initializer_list>
+#include <stdexcept>
+
+#include "config.hpp"
+#include "fields.hpp"
+#include "framing.hpp"
+#include "json.hpp"
+#include "members.hpp"
+#include "operator_settings.hpp"
+
+namespace heronvane::fleet {
+
+namespace wire = cedarplank::adapter;
+using rapidjson::Value;
+
+namespace {
+
+constexpr std::size_t kMostInstances = 1'000;
+
+// The two classes that relays know where the operator names none.
+constexpr const char* kSettings =
+    R"({"Classes":[{"Name":"load-status","Points":1.0,"LateWorth":0.0,"Target":1000000,"Deadline":6000000,)"
+    R"("Idempotency":"read_like","Window":5000000},{"Name":"pay-and-order","Points":3.0,"LateWorth":0.3,)"
+    R"("Target":2000000,"Deadline":24000000,"Idempotency":"non_idempotent","Window":5000000}],)"
+    R"("FamilyInfo":{"Workers":8,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
+    R"("HostTypes":["big","small"],"Discovery":"subscribe","GroupSize":1,"Tick":5000,)"
+    R"("Limits":{"OpenCap":400,"MaxAttempts":8,"Cancelling":true,"ConnIdle":5000000,)"
+    R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},)"
+    R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000}})";
+
+std::string name_of(const Value& member) { return {member.GetString(), member.GetStringLength()}; }
+
+// A slip of the pen must not pass for a default.
+void only(const Value& object, const std::string& path, std::initializer_list<const char*> known) {
+  wire::as_object(object, path);
+  for (const auto& m : object.GetObject())
+    if (std::none_of(known.begin(), known.end(), [&](const char* k) { return name_of(m.name) == k; }))
+      throw std::runtime_error(path + "." + printable(name_of(m.name)) + ": is no field of a fleet");
+}
+
+// Each leaf by its path, as it is shown in a diff.
+void flatten(const Value& v, const std::string& path, Parts& parts) {
+  if (v.IsObject() && v.MemberCount() > 0) {
+    for (const auto& m : v.GetObject()) flatten(m.value, path + "." + name_of(m.name), parts);
+  } else if (v.IsArray() && !v.Empty() &&
+             std::any_of(v.Begin(), v.End(), [](const Value& e) { return e.IsObject() || e.IsArray(); })) {
+    for (rapidjson::SizeType i = 0; i < v.Size(); i++) {
+      // By name where there is one, so that one more in front does not show as a change of all.
+      std::string at = std::to_string(i);
+      for (const char* name : {"name", "Name"})
+        if (v[i].IsObject() && v[i].HasMember(name) && v[i][name].IsString()) at = name_of(v[i][name]);
+      flatten(v[i], path + "[" + at + "]", parts);
+    }
+  } else {
+    parts[path] = to_text(v);
+  }
+}
+
+void check_name(const std::string& name, const std::string& path) {
+  const bool ok = !name.empty() && name.size() <= 64 && std::all_of(name.begin(), name.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  });
+  if (!ok) throw std::runtime_error(path + ": must be 1 to 64 characters of a-z 0-9 -");
+}
+
+std::string address(const Value& v, const std::string& path) {
+  const std::string text = wire::as_text(v, path);
+  read_address(text, path);
+  return text;
+}
+
+std::string toml_of(const Value& store) {
+  std::string toml;
+  for (const auto& m : store.GetObject()) {
+    const std::string name = name_of(m.name), path = "fleet.store." + printable(name);
+    const bool plain = !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+      return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_';
+    });
+    if (!plain) throw std::runtime_error(path + ": is no setting");
+    if (!m.value.IsString() && !m.value.IsBool() && !m.value.IsNumber())
+      throw std::runtime_error(path + ": must be a word, a number, true or false");
+    // Strings of JSON as they are written here are basic strings of TOML.
+    toml += name + " = " + to_text(m.value) + "\n";
+  }
+  return toml;
+}
+
+}  // namespace
+
+Fleet Fleet::read(const std::string& json) {
+  const rapidjson::Document v = parse_json(json);
+  const std::string path = "fleet";
+  only(v, path, {"max_unavailable", "program", "discovery", "settings", "limits", "store", "platform",
+                 "instances"});
+  Fleet f;
+  FleetSpec& spec = f.spec_;
+  spec.text = to_text(v);
+  spec.max_unavailable = wire::get(v, "max_unavailable", path, wire::as_int, 1);
+  if (spec.max_unavailable < 1) throw std::runtime_error("fleet.max_unavailable: must be 1 or more");
+  spec.loose["max_unavailable"] = std::to_string(spec.max_unavailable);
+  f.program_ = wire::get(v, "program", path, wire::as_text, "heronvane");
+  if (f.program_.empty()) throw std::runtime_error("fleet.program: must not be empty");
+  spec.common["program"] = f.program_;
+
+  const Value* settings = wire::find(v, "settings");
+  if (settings != nullptr) wire::as_object(*settings, path + ".settings");
+  const bool own = settings != nullptr && settings->MemberCount() > 0;
+  f.relay_settings_ = own ? to_text(*settings) : kSettings;
+  if (own) flatten(*settings, "settings", spec.common);
+
+  rapidjson::Document limits(rapidjson::kObjectType);
+  auto& memory = limits.GetAllocator();
+  limits.AddMember("cores", 1.0, memory);
+  limits.AddMember("memory_mb", 192, memory);
+  limits.AddMember("sockets", 1024, memory);
+  limits.AddMember("disk_mb", 100, memory);
+  if (const Value* told = wire::find(v, "limits")) {
+    only(*told, "fleet.limits", {"cores", "memory_mb", "sockets", "disk_mb"});
+    for (const auto& m : told->GetObject()) {
+      wire::as_number(m.value, "fleet.limits." + name_of(m.name));
+      limits[name_of(m.name).c_str()].CopyFrom(m.value, memory);
+    }
+  }
+  f.limits_ = to_text(limits);
+  flatten(limits, "limits", spec.common);
+
+  if (const Value* store = wire::find(v, "store")) {
+    wire::as_object(*store, "fleet.store");
+    f.toml_ = toml_of(*store);
+    if (!f.toml_.empty()) read_operator_settings("[store]\n" + f.toml_, "fleet.store");
+    flatten(*store, "store", spec.common);
+  }
+  spec.common.erase("store");  // an empty one says nothing
+
+  if (const Value* platform = wire::find(v, "platform")) {
+    only(*platform, "fleet.platform", {"listen", "partners", "partners_file"});
+    PlatformPart p;
+    p.listen = address(wire::need(*platform, "listen", "fleet.platform"), "fleet.platform.listen");
+    const Value* partners = wire::find(*platform, "partners");
+    p.partners_file = wire::get(*platform, "partners_file", "fleet.platform", wire::as_text, "");
+    if (!p.partners_file.empty() && p.partners_file.front() != '/')
+      throw std::runtime_error("fleet.platform.partners_file: must be an absolute path");
+    if ((partners != nullptr) == !p.partners_file.empty())
+      throw std::runtime_error("fleet.platform: must hold either partners or partners_file");
+    if (partners != nullptr)
+      p.partners = "{\"endpoints\":" + to_text(wire::as_array(*partners, "fleet.platform.partners")) + "}";
+    flatten(*platform, "platform", spec.loose);
+    f.platform_ = std::move(p);
+  }
+  f.discovery_ = wire::get(v, "discovery", path, wire::as_text, "");
+  if (f.discovery_.empty() && f.platform_) f.discovery_ = f.platform_->listen;
+  if (f.discovery_.empty())
+    throw std::runtime_error("fleet: without platform, discovery must name an address");
+  read_address(f.discovery_, "fleet.discovery");
+  spec.common["discovery"] = f.discovery_;
+
+  const Value& instances = wire::as_array(wire::need(v, "instances", path), "fleet.instances");
+  if (instances.Size() > kMostInstances)
+    throw std::runtime_error("fleet.instances: at most " + std::to_string(kMostInstances));
+  std::map<std::string, std::string> by_address;
+  for (rapidjson::SizeType i = 0; i < instances.Size(); i++) {
+    const std::string at = "fleet.instances[" + std::to_string(i) + "]";
+    only(instances[i], at, {"name", "listen"});
+    InstanceSpec one;
+    one.name = wire::get(instances[i], "name", at, wire::as_text);
+    check_name(one.name, at + ".name");
+    const std::string listen = address(wire::need(instances[i], "listen", at), at + ".listen");
+    one.own["listen"] = listen;
+    if (!f.listen_.emplace(one.name, listen).second)
+      throw std::runtime_error(at + ".name: " + one.name + " is there already");
+    const auto [other, fresh] = by_address.emplace(listen, one.name);
+    if (!fresh) throw std::runtime_error(at + ".listen: " + listen + " is " + other->second + "'s already");
+    if (f.platform_ && f.platform_->listen == listen)
+      throw std::runtime_error(at + ".listen: " + listen + " is the platform's already");
+    spec.instances.push_back(std::move(one));
+  }
+  // All configurations are alike but for names and addresses, which were looked at.
+  f.listen_.emplace("", "127.0.0.1:1");
+  const std::string config = f.config("", 0, 1);
+  f.listen_.erase("");
+  try {
+    read_config(config);
+  } catch (const std::exception& e) {
+    std::string what = e.what();
+    if (what.rfind("config.", 0) == 0) what.replace(0, 7, "fleet.");
+    throw std::runtime_error(what);
+  }
+  return f;
+}
+
+std::string Fleet::config(const std::string& name, Generation generation, std::uint64_t seed) const {
+  const auto it = listen_.find(name);
+  if (it == listen_.end())
+    throw std::runtime_error(name + ": is not in the fleet of generation " + std::to_string(generation));
+  char hex[17];
+  std::snprintf(hex, sizeof hex, "%016llx", static_cast<unsigned long long>(seed));
+  rapidjson::StringBuffer b;
+  JsonWriter w(b);
+  w.StartObject();
+  key(w, "name"), put(w, name);
+  key(w, "listen"), put(w, it->second);
+  key(w, "discovery"), put(w, discovery_);
+  key(w, "seed"), put(w, hex);
+  key(w, "generation"), w.Uint64(generation);
+  key(w, "limits"), raw(w, limits_);
+  key(w, "settings"), raw(w, relay_settings_);
+  w.EndObject();
+  return text_of(b);
+}
+
+std::string Fleet::settings() const {
+  std::string text = "[admin]\nsocket = true\ndrain = true\n";
+  if (!toml_.empty()) text += "\n[store]\n" + toml_;
+  return text;
+}
+
+}  // namespace heronvane::fleet
--- /dev/null
+++ b/fleet/process.cpp
@@ -0,0 +1,252 @@
+#include "process.hpp"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <linux/close_range.h>
+#include <signal.h>
+#include <sys/pidfd.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+
+namespace heronvane::fleet {
+
+namespace {
+
+std::error_code last_error() { return {errno, std::generic_category()}; }
+
+class Descriptor {
+ public:
+  explicit Descriptor(int fd = -1) : fd_(fd) {}
+  ~Descriptor() { reset(); }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int get() const { return fd_; }
+  int release() { return std::exchange(fd_, -1); }
+  void reset() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  }
+
+ private:
+  int fd_;
+};
+
+std::string whole_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+std::string proc(pid_t pid, const char* name) { return "/proc/" + std::to_string(pid) + "/" + name; }
+
+// Only what may be called between fork and exec.
+[[noreturn]] void run(const char* program, char* const* arguments, char* const* environment,
+                      const char* folder, const char* log, int report) {
+  const auto fail = [report] {
+    const int why = errno;
+    [[maybe_unused]] const auto n = ::write(report, &why, sizeof why);
+    ::_exit(127);
+  };
+  struct sigaction by_default {};
+  by_default.sa_handler = SIG_DFL;
+  for (int s = 1; s < NSIG; s++) ::sigaction(s, &by_default, nullptr);
+  sigset_t none;
+  ::sigemptyset(&none);
+  ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  if (::setsid() < 0) fail();
+  if (::chdir(folder) != 0) fail();
+  const int in = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  const int out = ::open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (in < 0 || out < 0) fail();
+  // Numbers above the streams, so that none of the copies below closes what is still needed.
+  const int high_in = ::fcntl(in, F_DUPFD_CLOEXEC, 10), high_out = ::fcntl(out, F_DUPFD_CLOEXEC, 10);
+  const int high_report = ::fcntl(report, F_DUPFD_CLOEXEC, 10);
+  if (high_in < 0 || high_out < 0 || high_report < 0) fail();
+  report = high_report;
+  const auto fail_high = [high_report] {
+    const int why = errno;
+    [[maybe_unused]] const auto n = ::write(high_report, &why, sizeof why);
+    ::_exit(127);
+  };
+  if (::dup2(high_in, STDIN_FILENO) < 0 || ::dup2(high_out, STDOUT_FILENO) < 0 ||
+      ::dup2(high_out, STDERR_FILENO) < 0)
+    fail_high();
+  // They close as the program begins, not before: the agent's lock is among them.
+  if (::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC) != 0) fail_high();
+  ::execve(program, arguments, environment);
+  fail_high();
+  ::_exit(127);
+}
+
+}  // namespace
+
+std::string boot_id() {
+  std::string id = whole_file("/proc/sys/kernel/random/boot_id");
+  while (!id.empty() && id.back() == '\n') id.pop_back();
+  return id;
+}
+
+std::optional<ProcessId> identify(pid_t pid) {
+  if (pid <= 0) return {};
+  const std::string stat = whole_file(proc(pid, "stat"));
+  // The name in brackets may hold anything, brackets too.
+  const auto name_end = stat.rfind(')');
+  if (name_end == std::string::npos || name_end + 2 >= stat.size()) return {};
+  const char state = stat[name_end + 2];
+  if (state == 'Z' || state == 'X' || state == 'x') return {};
+  // Field 22; the state is field 3.
+  std::size_t at = name_end + 2;
+  for (int field = 3; field < 22; field++) {
+    at = stat.find(' ', at);
+    if (at == std::string::npos) return {};
+    at++;
+  }
+  ProcessId id{pid, 0, boot_id()};
+  const auto read = std::from_chars(stat.data() + at, stat.data() + stat.size(), id.start_time);
+  if (read.ec != std::errc()) return {};
+  return id;
+}
+
+std::error_code start_detached(const Command& command, pid_t& pid) {
+  std::vector<std::string> words{command.program};
+  words.insert(words.end(), command.arguments.begin(), command.arguments.end());
+  std::vector<char*> arguments, environment;
+  for (auto& w : words) arguments.push_back(w.data());
+  arguments.push_back(nullptr);
+  for (char** e = environ; *e != nullptr; e++) {
+    const std::string_view entry(*e);
+    const auto name = entry.substr(0, entry.find('='));
+    if (std::find(command.hidden.begin(), command.hidden.end(), name) == command.hidden.end())
+      environment.push_back(*e);
+  }
+  environment.push_back(nullptr);
+
+  int ends[2];
+  if (::pipe2(ends, O_CLOEXEC) != 0) return last_error();
+  Descriptor from(ends[0]), to(ends[1]);
+  // No handler of the caller's may run in the child.
+  sigset_t all, before;
+  ::sigfillset(&all);
+  ::pthread_sigmask(SIG_SETMASK, &all, &before);
+  const pid_t child = ::fork();
+  if (child == 0)
+    run(command.program.c_str(), arguments.data(), environment.data(), command.folder.c_str(),
+        command.log.c_str(), to.get());
+  const auto forked = last_error();
+  ::pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  if (child < 0) return forked;
+  to.reset();
+  int why = 0;
+  ssize_t got = 0;
+  do got = ::read(from.get(), &why, sizeof why);
+  while (got < 0 && errno == EINTR);
+  if (got == sizeof why) {
+    while (::waitpid(child, nullptr, 0) < 0 && errno == EINTR) {
+    }
+    return {why, std::generic_category()};
+  }
+  pid = child;
+  return {};
+}
+
+std::unique_ptr<Process> Process::open(boost::asio::io_context& io, const ProcessId& id, Ended ended,
+                                       std::error_code& error) {
+  Descriptor descriptor(::pidfd_open(id.pid, 0));
+  if (descriptor.get() < 0) {
+    error = last_error();
+    return nullptr;
+  }
+  // The descriptor stands for whoever had the pid when it was opened; the look after that tells who it was. A
+  // child that has ended keeps its pid until it is waited for, and is its own.
+  const auto now = identify(id.pid);
+  siginfo_t info{};
+  const bool ended_child = !now && ::waitid(P_PIDFD, static_cast<id_t>(descriptor.get()), &info,
+                                            WEXITED | WNOHANG | WNOWAIT) == 0;
+  if (!(now && *now == id) && !ended_child) {
+    error = std::make_error_code(std::errc::no_such_process);
+    return nullptr;
+  }
+  error.clear();
+  return std::unique_ptr<Process>(new Process(io, id, descriptor.release(), std::move(ended)));
+}
+
+Process::Process(boost::asio::io_context& io, ProcessId id, int descriptor, Ended ended)
+    : id_(std::move(id)),
+      descriptor_(io, descriptor),
+      ended_(std::move(ended)),
+      alive_(std::make_shared<bool>(true)) {
+  watch();
+}
+
+Process::~Process() { *alive_ = false; }
+
+void Process::watch() {
+  descriptor_.async_wait(boost::asio::posix::descriptor_base::wait_read,
+                         [this, alive = alive_](boost::system::error_code bad) {
+                           if (!*alive || bad) return;
+                           Ending ending;
+                           siginfo_t info{};
+                           if (::waitid(P_PIDFD, static_cast<id_t>(descriptor_.native_handle()), &info,
+                                        WEXITED | WNOHANG) == 0) {
+                             if (info.si_pid == 0) return watch();
+                             ending.known = true;
+                             (info.si_code == CLD_EXITED ? ending.status : ending.signal) = info.si_status;
+                           }
+                           const auto ended = std::move(ended_);
+                           ended(ending);
+                         });
+}
+
+std::error_code Process::signal(int number) {
+  if (::pidfd_send_signal(descriptor_.native_handle(), number, nullptr, 0) != 0) return last_error();
+  return {};
+}
+
+std::optional<std::string> argument_of(pid_t pid, const std::string& option) {
+  std::string line = whole_file(proc(pid, "cmdline"));
+  // One that begins its program just now has none for a moment.
+  for (int again = 0; line.empty() && again < 20 && identify(pid); again++) {
+    char program[8];
+    if (::readlink(proc(pid, "exe").c_str(), program, sizeof program) < 0) return {};  // the kernel's own
+    ::usleep(200);
+    line = whole_file(proc(pid, "cmdline"));
+  }
+  std::vector<std::string_view> words;
+  for (std::string_view rest(line); !rest.empty();) {
+    const auto end = std::min(rest.find('\0'), rest.size());
+    words.push_back(rest.substr(0, end));
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  for (std::size_t i = 1; i + 1 < words.size(); i++)
+    if (words[i] == option) return std::string(words[i + 1]);
+  return {};
+}
+
+std::multimap<std::string, ProcessId> find_by_option(const std::string& option) {
+  std::multimap<std::string, ProcessId> found;
+  const std::unique_ptr<DIR, int (*)(DIR*)> all(::opendir("/proc"), ::closedir);
+  if (!all) return found;
+  while (const dirent* entry = ::readdir(all.get())) {
+    pid_t pid = 0;
+    const char* const end = entry->d_name + std::strlen(entry->d_name);
+    if (std::from_chars(entry->d_name, end, pid).ptr != end || pid <= 0) continue;
+    struct stat about {};
+    if (::fstatat(::dirfd(all.get()), entry->d_name, &about, 0) != 0 || about.st_uid != ::geteuid()) continue;
+    // Looked at before and after, lest the arguments be another's.
+    const auto before = identify(pid);
+    if (!before) continue;
+    const auto value = argument_of(pid, option);
+    if (value && identify(pid) == before) found.emplace(*value, *before);
+  }
+  return found;
+}
+
+}  // namespace heronvane::fleet
