--- a/fleet/admin_client.hpp
+++ b/fleet/admin_client.hpp
@@ -1,5 +1,5 @@
-// Asks relays over the admin sockets in their state folders. Nothing here waits for a relay: each request ends
-// by itself after its time, whatever the other side does.
+// Asks relays over the admin sockets in their state folders. Nothing here waits for a relay: each request
+// ends by itself after its time, whatever the other side does.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
--- /dev/null
+++ b/fleet/agent.cpp
@@ -0,0 +1,622 @@
+#include "agent.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <random>
+#include <set>
+#include <system_error>
+#include <thread>
+
+#include "fields.hpp"
+#include "json.hpp"
+#include "log.hpp"
+
+namespace heronvane::fleet {
+
+namespace wire = cedarplank::adapter;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kFleetsKept = 4;
+constexpr std::size_t kMostStatusKept = 256 << 10;  // bytes, for showing
+constexpr auto kLockPatience = std::chrono::seconds(2);
+
+// Variables that would tell a relay what its options tell, or are meant for the agent alone.
+const std::vector<std::string>& hidden_variables() {
+  static const std::vector<std::string> names{
+      "LB_CONFIG",     "LB_STATE",       "HERONVANE_SETTINGS",     "NOTIFY_SOCKET",
+      "LISTEN_FDS",    "LISTEN_PID",     "LISTEN_FDNAMES",         "WATCHDOG_USEC",
+      "INVOCATION_ID", "JOURNAL_STREAM", "HERONVANE_AGENT_KILL_AT"};
+  return names;
+}
+
+Time wall() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::uint64_t seed() {
+  std::random_device random;
+  return (static_cast<std::uint64_t>(random()) << 32) | random();
+}
+
+}  // namespace
+
+DataFolder::DataFolder(const std::string& path) {
+  const auto must = [](bool ok, const std::string& what) {
+    if (!ok) throw std::runtime_error(what + ": " + std::strerror(errno));
+  };
+  std::error_code bad;
+  std::filesystem::create_directories(path, bad);
+  if (bad) throw std::runtime_error(path + ": " + bad.message());
+  must(::chmod(path.c_str(), 0700) == 0, path);
+  const std::string instances = path + "/instances", lock = path + "/lock";
+  must(::mkdir(instances.c_str(), 0700) == 0 || errno == EEXIST, instances);
+  lock_ = ::open(lock.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  must(lock_ >= 0, lock);
+  const auto until = std::chrono::steady_clock::now() + kLockPatience;
+  while (::flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+    const int why = errno;
+    if (why == EINTR) continue;
+    if (why == EWOULDBLOCK && std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      continue;
+    }
+    ::close(lock_);
+    throw std::runtime_error(path + ": " +
+                             (why == EWOULDBLOCK ? "another heronvane-agent has it" : std::strerror(why)));
+  }
+}
+
+DataFolder::~DataFolder() { ::close(lock_); }
+
+struct Agent::Instance {
+  Instance(boost::asio::io_context& io, const std::string& data, const std::string& its_name)
+      : name(its_name), folder(data, its_name), timer(io) {}
+
+  std::string name;
+  InstanceFolder folder;
+  std::string run;  // of the process
+  std::unique_ptr<Process> process;
+  std::string config_trouble;  // of the last attempt to write it
+  boost::asio::steady_timer timer;
+  std::uint64_t life = 0;  // counts processes: answers to an earlier one's questions say nothing
+  bool had_state = false;
+  std::string status;  // as last told
+  Time status_at = 0;
+};
+
+Agent::Agent(boost::asio::io_context& io, AgentOptions options)
+    : io_(io),
+      options_(std::move(options)),
+      folder_(options_.data),
+      database_(options_.data + "/agent.db", options_.database),
+      started_(wall()),
+      started_steady_(std::chrono::steady_clock::now()),
+      decider_(
+          [this] {
+            Restored r = database_.restore([](const std::string& text) { return Fleet::read(text).spec(); });
+            found_ = r.instances;
+            return r;
+          }(),
+          seed(), options_.tuning),
+      timer_(io),
+      grace_(io) {}
+
+Agent::~Agent() { *alive_ = false; }
+
+Time Agent::now() const {
+  return started_ + std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() -
+                                                                          started_steady_)
+                        .count();
+}
+
+void Agent::start() {
+  events_.push_back(event::TimerDue{});
+  adopt(found_);
+  found_.clear();
+  pump();
+}
+
+Agent::Instance& Agent::instance(const std::string& name) {
+  auto& at = instances_[name];
+  if (!at) at = std::make_unique<Instance>(io_, options_.data, name);
+  return *at;
+}
+
+// ---- events and actions ----
+
+void Agent::happened(Event event) {
+  if (stopping_) return;
+  events_.push_back(std::move(event));
+  pump();
+}
+
+void Agent::pump() {
+  if (pumping_) return;
+  pumping_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty() && !stopping_) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    decider_.handle(now(), event, actions);
+    for (const auto& a : actions) {
+      try {
+        std::visit([this](const auto& x) { perform(x); }, a);
+      } catch (const std::exception& e) {
+        heronvane::log(std::string("agent: ") + e.what());
+      }
+    }
+  }
+  pumping_ = false;
+}
+
+void Agent::perform(const action::Record& a) {
+  point();
+  std::map<std::string, ProcessId> processes;
+  for (const auto& row : a.instances) {
+    const auto it = instances_.find(row.name);
+    if (it != instances_.end() && it->second->process && it->second->run == row.run)
+      processes.emplace(row.name, it->second->process->id());
+  }
+  const std::string why = database_.save(now(), a, processes);
+  point();
+  if (why.empty())
+    events_.push_back(event::Recorded{a.record});
+  else
+    events_.push_back(event::RecordFailed{a.record, why});
+}
+
+void Agent::perform(const action::WriteConfig& a) {
+  Instance& i = instance(a.name);
+  try {
+    const auto fleet = fleet_of(a.generation);
+    if (!fleet)
+      throw std::runtime_error("no fleet of generation " + std::to_string(a.generation) + " is kept");
+    i.folder.write_config(*fleet, a.generation);
+    i.config_trouble.clear();
+  } catch (const std::exception& e) {
+    i.config_trouble = e.what();
+    heronvane::log("instance " + a.name + ": its configuration: " + e.what());
+  }
+  point();
+}
+
+void Agent::perform(const action::Spawn& a) {
+  Instance& i = instance(a.name);
+  std::string why;
+  try {
+    why = spawn(i, a);
+  } catch (const std::exception& e) {
+    why = e.what();
+  }
+  point();
+  if (why.empty())
+    events_.push_back(event::Spawned{a.name, static_cast<int>(i.process->id().pid), a.run});
+  else
+    events_.push_back(event::SpawnFailed{a.name, a.run, why});
+}
+
+// Empty: it stands; else why not.
+std::string Agent::spawn(Instance& i, const action::Spawn& a) {
+  if (i.process) return "its earlier process still stands";
+  if (!i.config_trouble.empty()) return i.config_trouble;
+  i.folder.make();
+  const InstanceRow* row = decider_.instance(a.name) ? decider_.instance(a.name)->row : nullptr;
+  const auto fleet = fleet_of(row != nullptr && row->config > 0 ? row->config : decider_.generation());
+  if (!fleet) return "no fleet is kept for it";
+  Command c;
+  c.program = find_program(fleet->program());
+  if (c.program.empty()) return fleet->program() + ": no such program beside the agent's own or in PATH";
+  c.folder = i.folder.path();
+  c.log = i.folder.log();
+  c.hidden = hidden_variables();
+  // A Unix socket's path is bounded: where the whole one is too long, the one from its own folder serves.
+  const std::string at = i.folder.state().size() < 90 ? i.folder.path() + "/" : "";
+  c.arguments = {"--config",   at + "config.json",   "--state", at + "state",
+                 "--settings", at + "settings.toml", "--run",   a.run};
+  if (a.undrain) c.arguments.insert(c.arguments.end(), {"--undrain", std::to_string(*a.undrain)});
+  pid_t pid = 0;
+  if (const auto bad = start_detached(c, pid)) return c.program + ": " + bad.message();
+  const ProcessId id = identify(pid).value_or(ProcessId{pid, 0, ""});
+  std::error_code bad;
+  auto process = Process::open(
+      io_, id, [this, name = a.name, run = a.run](Ending e) { ended(name, run, e); }, bad);
+  if (!process) {
+    // Without a descriptor it could be neither watched nor signalled; as a child its pid is still its own.
+    ::kill(pid, SIGKILL);
+    return "pidfd: " + bad.message();
+  }
+  stands(i, a.run, std::move(process));
+  return {};
+}
+
+std::string Agent::find_program(const std::string& program) const {
+  if (program.find('/') != std::string::npos) return program;
+  std::vector<std::string> folders{std::filesystem::path(options_.own_program).parent_path().string()};
+  const char* const path = std::getenv("PATH");
+  std::string rest = path == nullptr ? "" : path;
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find(':'), rest.size());
+    folders.push_back(rest.substr(0, end));
+    rest.erase(0, std::min(end + 1, rest.size()));
+  }
+  for (const auto& f : folders) {
+    const std::string file = f + "/" + program;
+    struct stat about {};
+    if (!f.empty() && ::stat(file.c_str(), &about) == 0 && S_ISREG(about.st_mode) &&
+        ::access(file.c_str(), X_OK) == 0)
+      return file;
+  }
+  return {};
+}
+
+void Agent::perform(const action::Signal& a) {
+  const auto it = instances_.find(a.name);
+  if (it == instances_.end() || !it->second->process || it->second->run != a.run) return;
+  point();
+  const auto bad = it->second->process->signal(a.signal == Signum::kill ? SIGKILL : SIGTERM);
+  if (bad && bad != std::errc::no_such_process)
+    heronvane::log("instance " + a.name + ": signal: " + bad.message());
+}
+
+void Agent::perform(const action::AskDrain& a) { post(a.name, a.run, Call::drain, a.fence); }
+void Agent::perform(const action::AskUndrain& a) { post(a.name, a.run, Call::undrain, a.fence); }
+void Agent::perform(const action::AskFence& a) { post(a.name, a.run, Call::fence, a.fence); }
+
+void Agent::post(const std::string& name, const std::string& run, Call call, OperationId fence) {
+  point();
+  const char* const target = call == Call::drain     ? "/v1/drain"
+                             : call == Call::undrain ? "/v1/undrain"
+                                                     : "/v1/fence";
+  ask_admin(io_, {instance(name).folder.state(), true, target, "{\"fence\":" + std::to_string(fence) + "}"},
+            [this, alive = std::weak_ptr<bool>(alive_), name, run, call](const AdminAnswer& a) {
+              if (alive.expired()) return;
+              event::Answered e{name, run, call, event::Answered::Result::failed, 0, a.why};
+              if (a.status == 200) {
+                e.result = event::Answered::Result::ok;
+              } else if (a.status != 0) {
+                e.why = "status " + std::to_string(a.status);
+                try {
+                  const auto v = parse_json(a.body);
+                  const auto& error = wire::need(v, "error", "answer");
+                  e.why = printable(wire::get(error, "message", "error", wire::as_text, ""));
+                  if (a.status == 409) {
+                    e.highest = wire::get(error, "fence", "error", wire::as_natural);
+                    e.result = event::Answered::Result::fenced;
+                  }
+                } catch (const std::exception& bad) {
+                  e.why += std::string(", ") + bad.what();
+                }
+              }
+              happened(std::move(e));
+            });
+}
+
+void Agent::perform(const action::Removed& a) {
+  const auto it = instances_.find(a.name);
+  if (it != instances_.end() && it->second->process) {
+    heronvane::log("instance " + a.name + ": its folder stays, a process stands in it");
+    return;
+  }
+  instances_.erase(a.name);
+  InstanceFolder(options_.data, a.name).remove();
+}
+
+void Agent::perform(const action::SetTimer& a) {
+  timer_.expires_at(started_steady_ + std::chrono::microseconds(a.at - started_));
+  timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](error_code bad) {
+    if (!bad && !alive.expired()) happened(event::TimerDue{});
+  });
+}
+
+void Agent::perform(const action::Tell& a) {
+  const auto it = requests_.find(a.request);
+  if (it == requests_.end()) return;
+  const auto done = std::move(it->second);
+  requests_.erase(it);
+  done(a.verdict);
+}
+
+void Agent::perform(const action::OperationChanged& a) {
+  const auto it = followers_.find(a.operation);
+  if (it == followers_.end()) return;
+  const Operation* const o = decider_.operation(a.operation);
+  if (o == nullptr) return void(followers_.erase(it));
+  const bool last = o->state != OperationState::running;
+  const std::string line = operation_json(*o);
+  auto all = std::move(it->second);
+  followers_.erase(it);
+  std::erase_if(all, [](const auto& weak) { return weak.expired(); });
+  for (const auto& weak : all)
+    if (const auto stream = weak.lock()) stream->push(line, last);
+  if (!last && !all.empty()) {
+    auto& kept = followers_[a.operation];
+    kept.insert(kept.end(), all.begin(), all.end());
+  }
+}
+
+void Agent::perform(const action::Log& a) { heronvane::log(a.text); }
+
+// ---- processes ----
+
+// Looks for the run of each row that is told to live: first where it was last seen, then among all processes,
+// since the agent may have been killed between a start and its record.
+void Agent::adopt(const std::vector<InstanceRow>& rows) {
+  const auto recorded = database_.processes();
+  std::optional<std::multimap<std::string, ProcessId>> all;
+  for (const auto& row : rows) {
+    if (!row.live) continue;
+    Instance& i = instance(row.name);
+    std::optional<ProcessId> id;
+    const auto it = recorded.find(row.name);
+    if (it != recorded.end() && identify(it->second.pid) == it->second &&
+        argument_of(it->second.pid, "--run") == row.run)
+      id = it->second;
+    if (!id) {
+      if (!all) all = find_by_option("--run");
+      const auto [from, to] = all->equal_range(row.run);
+      for (auto at = from; at != to; ++at) {
+        std::error_code unknown;
+        const bool inside = std::filesystem::equivalent("/proc/" + std::to_string(at->second.pid) + "/cwd",
+                                                        i.folder.path(), unknown);
+        if (!id || inside) id = at->second;
+      }
+    }
+    std::error_code bad;
+    std::unique_ptr<Process> process;
+    if (id)
+      process = Process::open(
+          io_, *id, [this, name = row.name, run = row.run](Ending e) { ended(name, run, e); }, bad);
+    if (process) {
+      stands(i, row.run, std::move(process));
+      events_.push_back(event::Adopted{row.name, static_cast<int>(id->pid), row.run});
+    } else {
+      events_.push_back(event::NotFound{row.name, row.run, i.folder.drained(row.run)});
+    }
+  }
+}
+
+void Agent::stands(Instance& i, const std::string& run, std::unique_ptr<Process> process) {
+  i.run = run;
+  i.process = std::move(process);
+  i.life++;
+  i.status.clear();
+  i.had_state = i.folder.has_state();
+  ask_later(i, options_.ask_gap_busy);
+}
+
+void Agent::ended(const std::string& name, const std::string& run, Ending ending) {
+  Instance& i = instance(name);
+  i.process.reset();
+  i.life++;
+  i.status.clear();
+  i.timer.cancel();
+  if (stopping_) {
+    const bool any = std::any_of(instances_.begin(), instances_.end(),
+                                 [](const auto& x) { return x.second->process != nullptr; });
+    if (!any && relays_gone_) std::exchange(relays_gone_, nullptr)();
+    return;
+  }
+  const auto drained = i.folder.drained(run);
+  if (ending.known)
+    happened(event::Exited{name, run, ending.status, ending.signal, drained});
+  else
+    happened(event::NotFound{name, run, drained});  // not a child: how it ended nobody tells
+}
+
+void Agent::ask_status(const std::string& name) {
+  const auto it = instances_.find(name);
+  if (it == instances_.end() || !it->second->process) return;
+  Instance& i = *it->second;
+  i.folder.rotate(options_.log_bytes);
+  const bool state = i.folder.has_state();
+  if (i.had_state && !state) {
+    i.had_state = false;
+    happened(event::FolderGone{name});
+    if (!i.process) return;
+  }
+  i.had_state = i.had_state || state;
+  ask_admin(io_, {i.folder.state(), false, "/v1/status", ""},
+            [this, alive = std::weak_ptr<bool>(alive_), name, life = i.life](const AdminAnswer& a) {
+              if (alive.expired()) return;
+              const auto at = instances_.find(name);
+              if (at == instances_.end() || at->second->life != life) return;
+              answered(name, a);
+            });
+}
+
+void Agent::answered(const std::string& name, const AdminAnswer& a) {
+  Instance& i = instance(name);
+  event::StatusSeen e;
+  e.name = name;
+  bool seen = false;
+  try {
+    if (a.status == 200) {
+      const auto v = parse_json(a.body);
+      const std::string path = "status";
+      e.run = wire::get(v, "run", path, wire::as_text);
+      e.ready = wire::get(v, "ready", path, wire::as_bool);
+      e.draining = wire::get(v, "draining", path, wire::as_bool, false);
+      e.stopping = wire::get(v, "stopping", path, wire::as_bool, false);
+      e.fence = wire::get(v, "fence", path, wire::as_natural, 0);
+      e.generation = wire::get(v, "generation", path, wire::as_natural, 0);
+      if (const auto* held = wire::find(v, "held")) {
+        e.held = wire::get(*held, "total", "status.held", wire::as_natural, 0);
+        e.oldest_ms = wire::get(*held, "oldest_ms", "status.held", wire::as_integer, 0);
+      }
+      // One of another run answers in this one's folder: this one does not.
+      seen = e.run == i.run;
+      if (seen) {
+        i.status = a.body.size() <= kMostStatusKept ? a.body : "";
+        i.status_at = now();
+      }
+    }
+  } catch (const std::exception& bad) {
+    heronvane::log("instance " + name + ": its status: " + bad.what());
+  }
+  const auto life = i.life;
+  if (seen)
+    happened(std::move(e));
+  else
+    happened(event::StatusMissed{name, i.run});
+  const auto it = instances_.find(name);
+  if (it == instances_.end() || it->second->life != life || !it->second->process) return;
+  const auto v = decider_.instance(name);
+  const bool settled = v && (v->phase == Phase::ready || v->phase == Phase::stalled) && v->operation == 0;
+  ask_later(*it->second, settled ? options_.ask_gap : options_.ask_gap_busy);
+}
+
+void Agent::ask_later(Instance& i, std::chrono::milliseconds gap) {
+  i.timer.expires_after(gap);
+  i.timer.async_wait(
+      [this, alive = std::weak_ptr<bool>(alive_), name = i.name, life = i.life](error_code bad) {
+        if (bad || alive.expired()) return;
+        const auto it = instances_.find(name);
+        if (it != instances_.end() && it->second->life == life) ask_status(name);
+      });
+}
+
+void Agent::stop_relays(std::chrono::milliseconds grace, std::function<void()> done) {
+  stopping_ = true;
+  timer_.cancel();
+  bool any = false;
+  for (const auto& [name, i] : instances_) {
+    i->timer.cancel();
+    if (!i->process) continue;
+    any = true;
+    i->process->signal(SIGTERM);
+  }
+  if (!any) return done();
+  relays_gone_ = std::move(done);
+  grace_.expires_after(grace);
+  grace_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](error_code bad) {
+    if (bad || alive.expired()) return;
+    for (const auto& [name, i] : instances_)
+      if (i->process) i->process->signal(SIGKILL);
+  });
+}
+
+// ---- what the API asks ----
+
+AgentView Agent::about() const {
+  AgentView v;
+  char name[256] = "";
+  ::gethostname(name, sizeof name - 1);
+  v.name = name;
+  v.version = HERONVANE_VERSION;
+  v.pid = ::getpid();
+  v.started = started_;
+  return v;
+}
+
+std::optional<StatusView> Agent::status(const std::string& name) const {
+  const auto it = instances_.find(name);
+  if (it == instances_.end() || it->second->status.empty()) return {};
+  return StatusView{it->second->status, now() - it->second->status_at};
+}
+
+std::string Agent::log_file(const std::string& name) const {
+  return InstanceFolder(options_.data, name).log();
+}
+
+FleetSpec Agent::read_fleet(const std::string& json) const { return Fleet::read(json).spec(); }
+
+std::shared_ptr<const Fleet> Agent::fleet_of(Generation generation) {
+  const auto it = fleets_.find(generation);
+  if (it != fleets_.end()) return it->second;
+  const auto text = database_.fleet_at(generation);
+  if (!text) return nullptr;
+  while (fleets_.size() >= kFleetsKept) fleets_.erase(fleets_.begin());
+  return fleets_[generation] = std::make_shared<const Fleet>(Fleet::read(*text));
+}
+
+std::optional<FleetSpec> Agent::fleet_at(Generation generation) {
+  if (generation == 0 || generation > decider_.generation()) return {};
+  const auto fleet = fleet_of(generation);
+  if (!fleet) return {};
+  return fleet->spec();
+}
+
+void Agent::command(event::Command command, std::function<void(Verdict)> done) {
+  command.request = ++last_request_;
+  requests_.emplace(command.request, std::move(done));
+  happened(std::move(command));
+}
+
+void Agent::cancel(OperationId operation, std::function<void(Verdict)> done) {
+  const RequestId request = ++last_request_;
+  requests_.emplace(request, std::move(done));
+  happened(event::Cancel{request, operation});
+}
+
+void Agent::find_message(const std::string& id, std::function<void(MessageView)> done) {
+  struct Search {
+    MessageView view;
+    std::size_t open = 1;
+    std::function<void(MessageView)> done;
+    void ended() {
+      if (--open == 0) done(std::move(view));
+    }
+  };
+  const auto search = std::make_shared<Search>();
+  search->done = std::move(done);
+  for (const auto& v : decider_.instances()) {
+    const std::string name = v.row->name;
+    const auto it = instances_.find(name);
+    if (it == instances_.end() || !it->second->process) {
+      search->view.not_asked.push_back(name);
+      continue;
+    }
+    search->open++;
+    ask_admin(io_, {it->second->folder.state(), false, "/v1/messages/" + id, ""},
+              [search, name, alive = std::weak_ptr<bool>(alive_)](const AdminAnswer& a) {
+                if (alive.expired()) return;
+                bool answered = a.status == 404;
+                if (a.status == 200) {
+                  try {
+                    answered = parse_json(a.body).IsObject();
+                  } catch (const JsonError&) {
+                  }
+                  if (answered) search->view.found.emplace_back(name, a.body);
+                }
+                if (!answered) search->view.not_asked.push_back(name);
+                search->ended();
+              });
+  }
+  search->ended();
+}
+
+std::shared_ptr<ApiStream> Agent::follow_operation(OperationId operation) {
+  const auto stream = std::make_shared<LineStream>();
+  const Operation* const o = decider_.operation(operation);
+  if (o == nullptr) {
+    stream->push("{}", true);
+    return stream;
+  }
+  const bool last = o->state != OperationState::running;
+  stream->push(operation_json(*o), last);
+  if (!last) {
+    auto& all = followers_[operation];
+    std::erase_if(all, [](const auto& weak) { return weak.expired(); });
+    all.push_back(stream);
+  }
+  return stream;
+}
+
+std::shared_ptr<ApiStream> Agent::read_log(const std::string& name, std::size_t lines, bool follow) {
+  return std::make_shared<LogStream>(io_, log_file(name), lines, follow);
+}
+
+}  // namespace heronvane::fleet
--- /dev/null
+++ b/fleet/agent.hpp
@@ -0,0 +1,133 @@
+// The agent: gathers what happens on this machine, asks the decider, carries out what it says.
+//
+// It owns its data folder while it lives. Its end, by any way, touches no relay. One thread.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "admin_client.hpp"
+#include "api.hpp"
+#include "database.hpp"
+#include "decider.hpp"
+#include "fleet_file.hpp"
+#include "instance_folder.hpp"
+#include "process.hpp"
+#include "streams.hpp"
+
+namespace heronvane::fleet {
+
+struct AgentOptions {
+  std::string data;         // an absolute path; made where it is not there
+  std::string own_program;  // beside it relays' programs are looked for
+  Tuning tuning;
+  DatabaseOptions database;
+  std::uint64_t log_bytes = 10'000'000;  // of an instance's log before it is rotated
+  std::chrono::milliseconds ask_gap{1'000};
+  std::chrono::milliseconds ask_gap_busy{100};  // of instances that start, drain or stop
+  // Called at each step that lasts or acts, for tests that end the agent there.
+  std::function<void()> point;
+};
+
+// The data folder, for one agent at a time.
+class DataFolder {
+ public:
+  // Throws std::runtime_error: in use, or it can't be made. Waits a moment for children of an agent that was
+  // killed, which hold its lock until they run their program.
+  explicit DataFolder(const std::string& path);
+  ~DataFolder();
+  DataFolder(const DataFolder&) = delete;
+  DataFolder& operator=(const DataFolder&) = delete;
+
+ private:
+  int lock_ = -1;
+};
+
+class Agent : public ApiBackend {
+ public:
+  // Opens the folder and its database and looks for the processes of the instances. Throws std::exception.
+  Agent(boost::asio::io_context& io, AgentOptions options);
+  ~Agent() override;
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
+
+  // Takes up the work: what was found goes to the decider.
+  void start();
+  // From now on nothing is started; ends all relays (SIGTERM, past `grace` SIGKILL), then calls `done`.
+  void stop_relays(std::chrono::milliseconds grace, std::function<void()> done);
+
+  const Decider& decider() const override { return decider_; }
+  AgentView about() const override;
+  std::optional<StatusView> status(const std::string& name) const override;
+  std::string log_file(const std::string& name) const override;
+  FleetSpec read_fleet(const std::string& json) const override;
+  std::optional<FleetSpec> fleet_at(Generation generation) override;
+  void command(event::Command command, std::function<void(Verdict)> done) override;
+  void cancel(OperationId operation, std::function<void(Verdict)> done) override;
+  void find_message(const std::string& id, std::function<void(MessageView)> done) override;
+  std::shared_ptr<ApiStream> follow_operation(OperationId operation) override;
+  std::shared_ptr<ApiStream> read_log(const std::string& name, std::size_t lines, bool follow) override;
+
+ private:
+  struct Instance;
+
+  Time now() const;
+  void happened(Event event);
+  void pump();
+  void perform(const action::Record& a);
+  void perform(const action::WriteConfig& a);
+  void perform(const action::Spawn& a);
+  void perform(const action::Signal& a);
+  void perform(const action::AskDrain& a);
+  void perform(const action::AskUndrain& a);
+  void perform(const action::AskFence& a);
+  void perform(const action::Removed& a);
+  void perform(const action::SetTimer& a);
+  void perform(const action::Tell& a);
+  void perform(const action::OperationChanged& a);
+  void perform(const action::Log& a);
+
+  Instance& instance(const std::string& name);
+  void adopt(const std::vector<InstanceRow>& rows);
+  void stands(Instance& i, const std::string& run, std::unique_ptr<Process> process);
+  void ended(const std::string& name, const std::string& run, Ending ending);
+  void post(const std::string& name, const std::string& run, Call call, OperationId fence);
+  void ask_status(const std::string& name);
+  void answered(const std::string& name, const AdminAnswer& answer);
+  void ask_later(Instance& i, std::chrono::milliseconds gap);
+  std::string spawn(Instance& i, const action::Spawn& a);
+  std::string find_program(const std::string& program) const;
+  std::shared_ptr<const Fleet> fleet_of(Generation generation);
+  void point() const {
+    if (options_.point) options_.point();
+  }
+
+  boost::asio::io_context& io_;
+  AgentOptions options_;
+  DataFolder folder_;
+  Database database_;
+  Time started_;
+  std::chrono::steady_clock::time_point started_steady_;
+  std::vector<InstanceRow> found_;  // rows that stood when the agent began, until start()
+  Decider decider_;
+  std::map<std::string, std::unique_ptr<Instance>> instances_;
+  std::deque<Event> events_;
+  bool pumping_ = false, stopping_ = false;
+  std::function<void()> relays_gone_;
+  boost::asio::steady_timer timer_, grace_;
+  RequestId last_request_ = 0;
+  std::map<RequestId, std::function<void(Verdict)>> requests_;
+  std::map<OperationId, std::vector<std::weak_ptr<LineStream>>> followers_;
+  std::map<Generation, std::shared_ptr<const Fleet>> fleets_;  // a few, as last used
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace heronvane::fleet
--- a/fleet/api.cpp
+++ b/fleet/api.cpp
@@ -72,7 +72,9 @@
   w.EndObject();
 }
 
-ApiResponse json(std::string body, unsigned status = 200) { return {status, "application/json", std::move(body), {}}; }
+ApiResponse json(std::string body, unsigned status = 200) {
+  return {status, "application/json", std::move(body), {}};
+}
 
 std::string listed(const std::vector<std::string>& names) {
   std::string all;
@@ -90,53 +92,53 @@
 
 ApiResponse answer(const Verdict& verdict, unsigned accepted) {
   return std::visit(
-      Overloaded{
-          [&](const verdict::Accepted& v) { return json(operation_json(v.operation), accepted); },
-          [](const verdict::Plan& v) { return json(operation_json(v.operation)); },
-          [](const verdict::Conflict& v) {
-            const std::string with = "operation " + std::to_string(v.with) + " (" + std::string(word(v.kind)) +
-                                     " by " + v.by + ") is at work on " + listed(v.names);
-            return json(object([&](JsonWriter& w) {
-                          write_error(w, "conflict", with,
-                                      "wait for it, cancel it, or ask again with supersede");
-                          key(w, "with"), w.StartObject();
-                          key(w, "operation"), w.Uint64(v.with);
-                          key(w, "kind"), put(w, word(v.kind));
-                          key(w, "by"), put(w, v.by);
-                          key(w, "since_ms"), w.Int64(ms(v.since));
-                          key(w, "names"), write_names(w, v.names);
-                          w.EndObject();
-                        }),
-                        409);
-          },
-          [](const verdict::Stale& v) {
-            return json(object([&](JsonWriter& w) {
-                          write_error(w, "stale",
-                                      "it was made against an older generation; now it is " +
-                                          std::to_string(v.generation) + ", and changed since: " +
-                                          listed(v.names),
-                                      "look at the instances again, then ask with the new generation");
-                          key(w, "generation"), w.Uint64(v.generation);
-                          key(w, "names"), write_names(w, v.names);
-                        }),
-                        412);
-          },
-          [](const verdict::Refused& v) { return api_error(422, "refused", v.why); },
-          [](const verdict::Malformed& v) { return api_error(400, "bad_request", v.why); },
-          [](const verdict::Unknown& v) { return api_error(404, "unknown", v.what); },
-          [](const verdict::Ended& v) {
-            return api_error(409, "conflict",
-                             "operation " + std::to_string(v.operation.id) + " has ended: " +
-                                 std::string(word(v.operation.state)),
-                             "there is nothing left to cancel");
-          },
-          [](const verdict::Storage& v) {
-            return api_error(507, "storage", "it could not be recorded, nothing is changed: " + v.why,
-                             "make room on the disk of the agent's data folder, then ask again");
-          },
-          [](const verdict::Busy&) {
-            return api_error(503, "busy", "too many commands wait", "ask again in a moment");
-          }},
+      Overloaded{[&](const verdict::Accepted& v) { return json(operation_json(v.operation), accepted); },
+                 [](const verdict::Plan& v) { return json(operation_json(v.operation)); },
+                 [](const verdict::Conflict& v) {
+                   const std::string with = "operation " + std::to_string(v.with) + " (" +
+                                            std::string(word(v.kind)) + " by " + v.by + ") is at work on " +
+                                            listed(v.names);
+                   return json(object([&](JsonWriter& w) {
+                                 write_error(w, "conflict", with,
+                                             "wait for it, cancel it, or ask again with supersede");
+                                 key(w, "with"), w.StartObject();
+                                 key(w, "operation"), w.Uint64(v.with);
+                                 key(w, "kind"), put(w, word(v.kind));
+                                 key(w, "by"), put(w, v.by);
+                                 key(w, "since_ms"), w.Int64(ms(v.since));
+                                 key(w, "names"), write_names(w, v.names);
+                                 w.EndObject();
+                               }),
+                               409);
+                 },
+                 [](const verdict::Stale& v) {
+                   return json(object([&](JsonWriter& w) {
+                                 write_error(w, "stale",
+                                             "it was made against an older generation; now it is " +
+                                                 std::to_string(v.generation) +
+                                                 ", and changed since: " + listed(v.names),
+                                             "look at the instances again, then ask with the new generation");
+                                 key(w, "generation"), w.Uint64(v.generation);
+                                 key(w, "names"), write_names(w, v.names);
+                               }),
+                               412);
+                 },
+                 [](const verdict::Refused& v) { return api_error(422, "refused", v.why); },
+                 [](const verdict::Malformed& v) { return api_error(400, "bad_request", v.why); },
+                 [](const verdict::Unknown& v) { return api_error(404, "unknown", v.what); },
+                 [](const verdict::Ended& v) {
+                   return api_error(409, "conflict",
+                                    "operation " + std::to_string(v.operation.id) +
+                                        " has ended: " + std::string(word(v.operation.state)),
+                                    "there is nothing left to cancel");
+                 },
+                 [](const verdict::Storage& v) {
+                   return api_error(507, "storage", "it could not be recorded, nothing is changed: " + v.why,
+                                    "make room on the disk of the agent's data folder, then ask again");
+                 },
+                 [](const verdict::Busy&) {
+                   return api_error(503, "busy", "too many commands wait", "ask again in a moment");
+                 }},
       verdict);
 }
 
@@ -389,11 +391,14 @@
       for (const auto& n : names->GetArray()) c.names.push_back(wire::as_text(n, "body.names"));
     }
   }
-  if (const Value* against = wire::find(v, "generation")) c.against = wire::as_natural(*against, "body.generation");
+  if (const Value* against = wire::find(v, "generation"))
+    c.against = wire::as_natural(*against, "body.generation");
   c.by = wire::get(v, "by", path, wire::as_text, "");
   if (c.by.size() > kMostBy) throw BadRequest("body.by: at most 256 bytes");
   // What the connection says of the asker stands beside what the asker says.
-  c.by = c.by.empty() ? request.peer : request.peer.rfind("certificate", 0) == 0 ? c.by + " (" + request.peer + ")" : c.by;
+  c.by = c.by.empty()                                ? request.peer
+         : request.peer.rfind("certificate", 0) == 0 ? c.by + " (" + request.peer + ")"
+                                                     : c.by;
   if (const Value* most = wire::find(v, "max_unavailable"))
     c.max_unavailable = wire::as_int(*most, "body.max_unavailable");
   c.supersede = wire::get(v, "supersede", path, wire::as_bool, false);
--- a/fleet/api_server.cpp
+++ b/fleet/api_server.cpp
@@ -68,8 +68,6 @@
 template <class Stream>
 class Session : public Connection, public std::enable_shared_from_this<Session<Stream>> {
  public:
-  using Server = std::shared_ptr<ApiServer::Impl>;
-
   Session(std::weak_ptr<void> server, net::io_context& io, Api& api, ApiLimits limits, Stream stream,
           std::function<void(Connection*)> gone)
       : server_(std::move(server)),
@@ -85,7 +83,7 @@
   Session& operator=(const Session&) = delete;
 
   void drop() override {
-    stream_over_ = true;
+    let_go();
     error_code ignored;
     beast::get_lowest_layer(stream_).socket().close(ignored);
   }
@@ -122,28 +120,29 @@
     parser_->header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
     parser_->body_limit(limits_.body_bytes);
     bound();
-    http::async_read(stream_, buffer_, *parser_, [self = this->shared_from_this()](error_code bad, std::size_t) {
-      self->got(bad);
-    });
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = this->shared_from_this()](error_code bad, std::size_t) { self->got(bad); });
   }
   void got(error_code bad) {
     if (server_.expired()) return;
-    if (bad == http::error::body_limit || bad == http::error::header_limit || bad == http::error::buffer_overflow)
-      return respond(api_error(413, "too_large",
-                               bad == http::error::body_limit ? "the body is too large" : "the head is too large",
-                               "bodies up to 1 MiB, heads up to 16 KiB"),
-                     false);
+    if (bad == http::error::body_limit || bad == http::error::header_limit ||
+        bad == http::error::buffer_overflow)
+      return respond(
+          api_error(413, "too_large",
+                    bad == http::error::body_limit ? "the body is too large" : "the head is too large",
+                    "bodies up to 1 MiB, heads up to 16 KiB"),
+          false);
     if (bad == http::error::end_of_stream || bad == http::error::partial_message) return drop();
     if (bad.category() == http::make_error_code(http::error::bad_target).category())
       return respond(api_error(400, "bad_request", "no HTTP request: " + bad.message()), false);
     if (bad) return drop();
     auto& request = parser_->get();
-    ApiRequest r{std::string(request.method_string()), std::string(request.target()), std::move(request.body()),
-                 peer_};
+    ApiRequest r{std::string(request.method_string()), std::string(request.target()),
+                 std::move(request.body()), peer_};
     const bool keep = request.keep_alive() && request.version() == 11;
     // The answer may take longer than a read may: a command waits for the disk, a message for relays.
     beast::get_lowest_layer(stream_).expires_never();
-    api_.handle(r, [weak = this->weak_from_this(), hold = this->shared_from_this(), keep](ApiResponse a) {
+    api_.handle(r, [hold = this->shared_from_this(), keep](ApiResponse a) {
       if (!hold->server_.expired()) hold->respond(std::move(a), keep);
     });
   }
@@ -151,7 +150,7 @@
   void respond(ApiResponse a, bool keep) {
     out_ = "HTTP/1.1 " + std::to_string(a.status) + " " + reason(a.status) +
            "\r\nX-Heronvane-Api: " + std::string(kApiVersion) + "\r\nContent-Type: " + a.type + "\r\n" +
-           (keep ? "" : "Connection: close\r\n");
+           (keep && !a.stream ? "" : "Connection: close\r\n");
     if (a.stream) {
       follow_ = std::move(a.stream);
       out_ += "Transfer-Encoding: chunked\r\n\r\n";
@@ -159,15 +158,16 @@
       out_ += "Content-Length: " + std::to_string(a.body.size()) + "\r\n\r\n" + a.body;
     }
     bound();
-    net::async_write(stream_, net::buffer(out_), [self = this->shared_from_this(), keep](error_code bad, std::size_t) {
-      if (bad || self->server_.expired()) return;
-      if (self->follow_) {
-        self->watch_end();
-        return self->piece(keep);
-      }
-      if (keep) return self->read();
-      self->finish();
-    });
+    net::async_write(stream_, net::buffer(out_),
+                     [self = this->shared_from_this(), keep](error_code bad, std::size_t) {
+                       if (bad || self->server_.expired()) return;
+                       if (self->follow_) {
+                         self->watch_end();
+                         return self->piece(keep);
+                       }
+                       if (keep) return self->read();
+                       self->finish();
+                     });
   }
 
   // A piece at a time: the next is asked for once this one is taken.
@@ -221,6 +221,9 @@
     });
   }
   void finish() {
+    bound();
+    if constexpr (std::is_same_v<Stream, TlsStream>)
+      return stream_.async_shutdown([self = this->shared_from_this()](error_code) { self->drop(); });
     error_code ignored;
     auto& socket = beast::get_lowest_layer(stream_).socket();
     socket.shutdown(net::socket_base::shutdown_send, ignored);
@@ -294,9 +297,10 @@
     if (self->closed || bad == net::error::operation_aborted) return;
     if (bad) return self->wait_for_room([self] { self->accept_tls(); });
     if (self->open.size() < self->limits.connections) {
-      const auto session = std::make_shared<Session<TlsStream>>(
-          self, self->io, self->api, self->limits, TlsStream(beast::tcp_stream(std::move(socket)), *self->tls),
-          [impl = self.get()](Connection* c) { impl->open.erase(c); });
+      const auto session =
+          std::make_shared<Session<TlsStream>>(self, self->io, self->api, self->limits,
+                                               TlsStream(beast::tcp_stream(std::move(socket)), *self->tls),
+                                               [impl = self.get()](Connection* c) { impl->open.erase(c); });
       self->open.emplace(session.get(), session);
       session->start_tls();
     }
--- a/fleet/api_server.hpp
+++ b/fleet/api_server.hpp
@@ -36,7 +36,8 @@
   // Mode 0600, in place of what an earlier agent left: the caller owns the folder. Throws std::exception.
   void listen_local(const std::string& path);
   // Throws std::exception whose text names the file that can't be used. Returns where it listens.
-  boost::asio::ip::tcp::endpoint listen_tls(const boost::asio::ip::tcp::endpoint& address, const TlsFiles& files);
+  boost::asio::ip::tcp::endpoint listen_tls(const boost::asio::ip::tcp::endpoint& address,
+                                            const TlsFiles& files);
 
   std::size_t connections() const;
 
--- a/fleet/database.cpp
+++ b/fleet/database.cpp
@@ -117,8 +117,7 @@
 
 Database::Database(const std::string& file, DatabaseOptions options) : options_(options) {
   sqlite3* opened = nullptr;
-  const int got =
-      sqlite3_open_v2(file.c_str(), &opened, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
+  const int got = sqlite3_open_v2(file.c_str(), &opened, SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE, nullptr);
   db_.reset(opened);
   if (got != SQLITE_OK)
     throw DatabaseError("database: " + file + ": " +
@@ -167,7 +166,8 @@
     return {};
   } catch (const std::exception& e) {
     // Some errors have rolled it back already.
-    if (sqlite3_get_autocommit(db_.get()) == 0) sqlite3_exec(db_.get(), "ROLLBACK", nullptr, nullptr, nullptr);
+    if (sqlite3_get_autocommit(db_.get()) == 0)
+      sqlite3_exec(db_.get(), "ROLLBACK", nullptr, nullptr, nullptr);
     return e.what();
   }
 }
@@ -223,7 +223,8 @@
     put.bind(o.id, i, s.instance, s.state, s.what, s.since, s.run_before, s.work).next();
     const auto was = before.find(static_cast<std::int64_t>(i));
     if (was != before.end() && was->second != static_cast<std::int64_t>(s.state))
-      note(now, about, s.instance + ": " + std::string(word(s.state)) + (s.what.empty() ? "" : ": " + s.what));
+      note(now, about,
+           s.instance + ": " + std::string(word(s.state)) + (s.what.empty() ? "" : ": " + s.what));
   }
 }
 
@@ -261,11 +262,13 @@
   Statement(db_.get(), "DELETE FROM history WHERE number<=(SELECT max(number) FROM history)-?")
       .bind(options_.history_kept)
       .next();
-  // Whatever an instance runs with or shall run with stays: the newest fleet that is not above its generation.
+  // Whatever an instance runs with or shall run with stays: the newest fleet that is not above its
+  // generation.
   Statement(db_.get(),
             "DELETE FROM fleets WHERE generation<=(SELECT generation FROM fleets ORDER BY generation DESC "
             "LIMIT 1 OFFSET ?) AND generation<(SELECT coalesce(min(least),9223372036854775807) FROM (SELECT "
-            "(SELECT max(f.generation) FROM fleets f WHERE f.generation<=i.wanted) AS least FROM instances i))")
+            "(SELECT max(f.generation) FROM fleets f WHERE f.generation<=CASE WHEN i.config>0 AND "
+            "i.config<i.wanted THEN i.config ELSE i.wanted END) AS least FROM instances i))")
       .bind(options_.fleets_kept)
       .next();
 }
@@ -283,9 +286,10 @@
     if (s.next()) r.fleet = read(s.text());
   }
   {
-    Statement s(db_.get(),
-                "SELECT name, listen, desired, changed, wanted, config, digest, fence, run, live, pid, retire, "
-                "drain_kept, ended_drained, removing, restarts, last_exit FROM instances ORDER BY name");
+    Statement s(
+        db_.get(),
+        "SELECT name, listen, desired, changed, wanted, config, digest, fence, run, live, pid, retire, "
+        "drain_kept, ended_drained, removing, restarts, last_exit FROM instances ORDER BY name");
     while (s.next()) {
       InstanceRow row;
       row.name = s.text();
@@ -311,9 +315,10 @@
   Statement s(db_.get(),
               "SELECT id, kind, by, state, generation, max_unavailable, created, ended, message, "
               "superseded_by, diff FROM operations ORDER BY id");
-  Statement steps(db_.get(),
-                  "SELECT instance, state, what, since, run_before, work FROM steps WHERE operation=? ORDER BY "
-                  "position");
+  Statement steps(
+      db_.get(),
+      "SELECT instance, state, what, since, run_before, work FROM steps WHERE operation=? ORDER BY "
+      "position");
   while (s.next()) {
     Operation o;
     o.id = s.count();
--- a/fleet/database.hpp
+++ b/fleet/database.hpp
@@ -26,10 +26,10 @@
 };
 
 struct DatabaseOptions {
-  int most_pages = 0;            // of the file, each 4,096 bytes; 0: no bound
-  int operations_kept = 1'000;   // that ended
-  int fleets_kept = 100;         // versions of the fleet that no instance needs
-  int history_kept = 20'000;     // lines
+  int most_pages = 0;           // of the file, each 4,096 bytes; 0: no bound
+  int operations_kept = 1'000;  // that ended
+  int fleets_kept = 100;        // versions of the fleet that no instance needs
+  int history_kept = 20'000;    // lines
 };
 
 struct HistoryLine {
@@ -42,15 +42,15 @@
  public:
   using ReadFleet = std::function<FleetSpec(const std::string& text)>;
 
-  // Makes the file where there is none. Throws DatabaseError: no database, one of a newer version, damaged, or
-  // it can't be written.
+  // Makes the file where there is none. Throws DatabaseError: no database, one of a newer version, damaged,
+  // or it can't be written.
   explicit Database(const std::string& file, DatabaseOptions options = {});
   ~Database();
   Database(const Database&) = delete;
   Database& operator=(const Database&) = delete;
 
-  // Writes all of it or nothing. `processes`: by name, of rows whose run stands, who they are. Empty: it lasts;
-  // else why not.
+  // Writes all of it or nothing. `processes`: by name, of rows whose run stands, who they are. Empty: it
+  // lasts; else why not.
   std::string save(Time now, const action::Record& record, const std::map<std::string, ProcessId>& processes);
 
   // Throws DatabaseError, and what `read` throws.
--- a/fleet/fleet_file.cpp
+++ b/fleet/fleet_file.cpp
@@ -93,8 +93,8 @@
 Fleet Fleet::read(const std::string& json) {
   const rapidjson::Document v = parse_json(json);
   const std::string path = "fleet";
-  only(v, path, {"max_unavailable", "program", "discovery", "settings", "limits", "store", "platform",
-                 "instances"});
+  only(v, path,
+       {"max_unavailable", "program", "discovery", "settings", "limits", "store", "platform", "instances"});
   Fleet f;
   FleetSpec& spec = f.spec_;
   spec.text = to_text(v);
--- a/fleet/fleet_file.hpp
+++ b/fleet/fleet_file.hpp
@@ -1,5 +1,5 @@
-// The fleet as `apply` hands it in: checked whole before anything is decided, and the files that each relay of
-// it is started with. No input or output here.
+// The fleet as `apply` hands it in: checked whole before anything is decided, and the files that each relay
+// of it is started with. No input or output here.
 #pragma once
 
 #include <cstdint>
--- /dev/null
+++ b/fleet/instance_folder.cpp
@@ -0,0 +1,124 @@
+#include "instance_folder.hpp"
+
+#include <fcntl.h>
+#include <sys/sendfile.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <system_error>
+
+#include "json.hpp"
+
+namespace heronvane::fleet {
+
+namespace {
+
+constexpr std::size_t kMostDrainedFile = 4096;
+
+[[noreturn]] void fail(const std::string& what) {
+  throw std::system_error(errno, std::generic_category(), what);
+}
+
+class File {
+ public:
+  File(const std::string& path, int flags) : fd_(::open(path.c_str(), flags | O_CLOEXEC, 0600)) {}
+  ~File() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  File(const File&) = delete;
+  File& operator=(const File&) = delete;
+  int get() const { return fd_; }
+
+ private:
+  int fd_;
+};
+
+}  // namespace
+
+void replace_file(const std::string& file, const std::string& text) {
+  const std::string fresh = file + ".new";
+  {
+    const File out(fresh, O_WRONLY | O_CREAT | O_TRUNC);
+    if (out.get() < 0) fail(fresh);
+    for (std::size_t at = 0; at < text.size();) {
+      const ssize_t n = ::write(out.get(), text.data() + at, text.size() - at);
+      if (n < 0 && errno != EINTR) fail(fresh);
+      if (n > 0) at += static_cast<std::size_t>(n);
+    }
+    if (::fsync(out.get()) != 0) fail(fresh);
+  }
+  if (::rename(fresh.c_str(), file.c_str()) != 0) fail(file);
+}
+
+void rotate_file(const std::string& file, std::uint64_t most) {
+  struct stat about {};
+  if (::stat(file.c_str(), &about) != 0 || static_cast<std::uint64_t>(about.st_size) <= most) return;
+  const std::string old = file + ".1", fresh = file + ".1.new";
+  bool whole = false;
+  {
+    const File in(file, O_RDONLY), out(fresh, O_WRONLY | O_CREAT | O_TRUNC);
+    if (in.get() >= 0 && out.get() >= 0) {
+      ssize_t n = 0;
+      while ((n = ::sendfile(out.get(), in.get(), nullptr, 1 << 20)) > 0) {
+      }
+      whole = n == 0;
+    }
+  }
+  if (whole)
+    ::rename(fresh.c_str(), old.c_str());
+  else
+    ::unlink(fresh.c_str());
+  [[maybe_unused]] const int cut = ::truncate(file.c_str(), 0);
+}
+
+InstanceFolder::InstanceFolder(const std::string& data, std::string name)
+    : name_(std::move(name)), path_(data + "/instances/" + name_) {}
+
+void InstanceFolder::make() const {
+  for (const auto& folder : {path_, state()})
+    if (::mkdir(folder.c_str(), 0700) != 0 && errno != EEXIST) fail(folder);
+}
+
+void InstanceFolder::write_config(const Fleet& fleet, Generation generation) const {
+  make();
+  std::random_device random;
+  const std::uint64_t seed = (static_cast<std::uint64_t>(random()) << 32) | random();
+  replace_file(path_ + "/settings.toml", fleet.settings());
+  replace_file(path_ + "/config.json", fleet.config(name_, generation, seed));
+}
+
+bool InstanceFolder::has_state() const {
+  struct stat about {};
+  return ::stat(state().c_str(), &about) == 0 && S_ISDIR(about.st_mode);
+}
+
+std::optional<OperationId> InstanceFolder::drained(const std::string& run) const {
+  std::ifstream in(state() + "/drained", std::ios::binary);
+  if (!in) return {};
+  std::string text(kMostDrainedFile, '\0');
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(in.gcount()));
+  try {
+    const auto v = parse_json(text);
+    if (!v.IsObject() || !v.HasMember("run") || !v["run"].IsString() || v["run"].GetString() != run)
+      return {};
+    if (!v.HasMember("fence") || !v["fence"].IsUint64()) return {};
+    return v["fence"].GetUint64();
+  } catch (const std::exception&) {
+    return {};
+  }
+}
+
+void InstanceFolder::rotate(std::uint64_t most) const { rotate_file(log(), most); }
+
+void InstanceFolder::remove() const {
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
+}
+
+}  // namespace heronvane::fleet
--- a/fleet/json.hpp
+++ b/fleet/json.hpp
@@ -19,7 +19,8 @@
   using std::runtime_error::runtime_error;
 };
 
-// Throws JsonError: no JSON, no valid UTF-8, or nested deeper than 64 (what is nested is walked by recursion).
+// Throws JsonError: no JSON, no valid UTF-8, or nested deeper than 64 (what is nested is walked by
+// recursion).
 rapidjson::Document parse_json(std::string_view text);
 
 std::string to_text(const rapidjson::Value& v);
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <linux/close_range.h>
 #include <signal.h>
-#include <sys/pidfd.h>
 #include <sys/stat.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
@@ -22,6 +21,12 @@
 
 namespace {
 
+// The system calls themselves: glibc 2.36 declares its own without extern "C".
+int open_pidfd(pid_t pid) { return static_cast<int>(::syscall(SYS_pidfd_open, pid, 0)); }
+int signal_pidfd(int fd, int number) {
+  return static_cast<int>(::syscall(SYS_pidfd_send_signal, fd, number, nullptr, 0));
+}
+
 std::error_code last_error() { return {errno, std::generic_category()}; }
 
 class Descriptor {
@@ -159,18 +164,17 @@
 
 std::unique_ptr<Process> Process::open(boost::asio::io_context& io, const ProcessId& id, Ended ended,
                                        std::error_code& error) {
-  Descriptor descriptor(::pidfd_open(id.pid, 0));
+  Descriptor descriptor(open_pidfd(id.pid));
   if (descriptor.get() < 0) {
     error = last_error();
     return nullptr;
   }
   // The descriptor stands for whoever had the pid when it was opened; the look after that tells who it was. A
-  // child that has ended keeps its pid until it is waited for, and is its own.
-  const auto now = identify(id.pid);
+  // child keeps its pid until it is waited for.
   siginfo_t info{};
-  const bool ended_child = !now && ::waitid(P_PIDFD, static_cast<id_t>(descriptor.get()), &info,
-                                            WEXITED | WNOHANG | WNOWAIT) == 0;
-  if (!(now && *now == id) && !ended_child) {
+  const bool child =
+      ::waitid(P_PIDFD, static_cast<id_t>(descriptor.get()), &info, WEXITED | WNOHANG | WNOWAIT) == 0;
+  if (!child && identify(id.pid) != id) {
     error = std::make_error_code(std::errc::no_such_process);
     return nullptr;
   }
@@ -189,24 +193,23 @@
 Process::~Process() { *alive_ = false; }
 
 void Process::watch() {
-  descriptor_.async_wait(boost::asio::posix::descriptor_base::wait_read,
-                         [this, alive = alive_](boost::system::error_code bad) {
-                           if (!*alive || bad) return;
-                           Ending ending;
-                           siginfo_t info{};
-                           if (::waitid(P_PIDFD, static_cast<id_t>(descriptor_.native_handle()), &info,
-                                        WEXITED | WNOHANG) == 0) {
-                             if (info.si_pid == 0) return watch();
-                             ending.known = true;
-                             (info.si_code == CLD_EXITED ? ending.status : ending.signal) = info.si_status;
-                           }
-                           const auto ended = std::move(ended_);
-                           ended(ending);
-                         });
+  descriptor_.async_wait(boost::asio::posix::descriptor_base::wait_read, [this, alive = alive_](
+                                                                             boost::system::error_code bad) {
+    if (!*alive || bad) return;
+    Ending ending;
+    siginfo_t info{};
+    if (::waitid(P_PIDFD, static_cast<id_t>(descriptor_.native_handle()), &info, WEXITED | WNOHANG) == 0) {
+      if (info.si_pid == 0) return watch();
+      ending.known = true;
+      (info.si_code == CLD_EXITED ? ending.status : ending.signal) = info.si_status;
+    }
+    const auto ended = std::move(ended_);
+    ended(ending);
+  });
 }
 
 std::error_code Process::signal(int number) {
-  if (::pidfd_send_signal(descriptor_.native_handle(), number, nullptr, 0) != 0) return last_error();
+  if (signal_pidfd(descriptor_.native_handle(), number) != 0) return last_error();
   return {};
 }
 
--- a/fleet/process.hpp
+++ b/fleet/process.hpp
@@ -40,9 +40,9 @@
   std::vector<std::string> hidden;     // variables of the environment that it does not get
 };
 
-// Starts it in a session of its own, standard input from /dev/null, without any other descriptor, with default
-// signals. It runs on when the caller ends. Until it runs the program it keeps the caller's descriptors, locks
-// among them. Waits until the program runs or could not be run; then nothing stands of it.
+// Starts it in a session of its own, standard input from /dev/null, without any other descriptor, with
+// default signals. It runs on when the caller ends. Until it runs the program it keeps the caller's
+// descriptors, locks among them. Waits until the program runs or could not be run; then nothing stands of it.
 std::error_code start_detached(const Command& command, pid_t& pid);
 
 // How a process ended. Of one that is no child of the caller the system tells nothing.
--- /dev/null
+++ b/tests/fleet/standins/relay_standin.cpp
@@ -0,0 +1,214 @@
+// Stands in for a relay: takes its command line, speaks its admin protocol, keeps its fence and drain in the
+// state folder, and listens nowhere else. The file `behave` in the folder it runs in, or the variable
+// STANDIN_BEHAVE, tells it what else to do, words apart by spaces:
+//   crash  ends with status 3 at once       unready  answers, and is not ready
+//   deaf   ignores SIGTERM                  held=N   N messages are held until the drain has asked for 1 s
+//   mute   makes no admin socket
+#include <fcntl.h>
+#include <rapidjson/document.h>
+#include <signal.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using local = net::local::stream_protocol;
+
+namespace {
+
+std::string whole(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+void replace(const std::string& file, const std::string& text) {
+  std::ofstream(file + ".new") << text;
+  std::filesystem::rename(file + ".new", file);
+}
+
+class Relay {
+ public:
+  Relay(net::io_context& io, std::string state, const std::string& config, std::string run)
+      : io_(io), state_(std::move(state)), run_(std::move(run)), acceptor_(io), timer_(io) {
+    rapidjson::Document v;
+    v.Parse(whole(config).c_str());
+    if (v.HasParseError() || !v.IsObject()) throw std::runtime_error("config: can't be read");
+    name_ = v["name"].GetString();
+    generation_ = v["generation"].GetUint64();
+    std::string words = whole("behave");
+    if (const char* all = std::getenv("STANDIN_BEHAVE")) words += std::string(" ") + all;
+    std::istringstream in(words);
+    for (std::string w; in >> w;) {
+      if (w.rfind("held=", 0) == 0) held_ = std::strtoull(w.c_str() + 5, nullptr, 10);
+      behave_.insert(w);
+    }
+    std::ifstream kept(state_ + "/kept");
+    kept >> fence_ >> draining_;
+  }
+
+  bool is(const char* word) const { return behave_.count(word) > 0; }
+
+  void undrain(std::uint64_t fence) {
+    if (fence < fence_) throw std::runtime_error("fenced");
+    fence_ = fence;
+    draining_ = false;
+    keep();
+    std::filesystem::remove(state_ + "/drained");
+  }
+  void start() {
+    if (!is("mute")) {
+      const std::string path = state_ + "/admin.sock";
+      std::filesystem::remove(path);
+      acceptor_.open();
+      acceptor_.bind(local::endpoint(path));
+      acceptor_.listen();
+      accept();
+    }
+    look();
+  }
+
+ private:
+  struct Session {
+    explicit Session(local::socket s) : socket(std::move(s)) {}
+    local::socket socket;
+    boost::beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    http::response<http::string_body> response;
+  };
+
+  void keep() { replace(state_ + "/kept", std::to_string(fence_) + " " + std::to_string(draining_)); }
+  void look() {
+    if (draining_ && held_ == 0) {
+      replace(state_ + "/drained", "{\"fence\":" + std::to_string(fence_) + ",\"run\":\"" + run_ + "\"}");
+      return io_.stop();
+    }
+    if (draining_) held_ -= 1;
+    timer_.expires_after(std::chrono::milliseconds(100));
+    timer_.async_wait([this](error_code bad) {
+      if (!bad) look();
+    });
+  }
+  void accept() {
+    acceptor_.async_accept([this](error_code bad, local::socket socket) {
+      if (!bad) read(std::make_shared<Session>(std::move(socket)));
+      accept();
+    });
+  }
+  void read(const std::shared_ptr<Session>& s) {
+    s->request = {};
+    http::async_read(s->socket, s->buffer, s->request, [this, s](error_code bad, std::size_t) {
+      if (bad) return;
+      s->response = {};
+      s->response.result(answer(s->request, s->response.body()));
+      s->response.keep_alive(s->request.keep_alive());
+      s->response.prepare_payload();
+      http::async_write(s->socket, s->response, [this, s](error_code failed, std::size_t) {
+        if (!failed && s->request.keep_alive()) read(s);
+      });
+    });
+  }
+  unsigned answer(const http::request<http::string_body>& r, std::string& body) {
+    if (r.method() == http::verb::get) {
+      if (r.target() == "/v1/status") {
+        body = status();
+        return 200;
+      }
+      if (r.target() == "/v1/messages/known-" + name_) {
+        body = R"({"id":"known-)" + name_ + R"(","state":"over"})";
+        return 200;
+      }
+      body = R"({"error":{"code":"unknown","message":"unknown"}})";
+      return 404;
+    }
+    rapidjson::Document v;
+    v.Parse(r.body().c_str());
+    const std::uint64_t fence = v["fence"].GetUint64();
+    if (fence < fence_) {
+      body = R"({"error":{"code":"fenced","message":"fenced","fence":)" + std::to_string(fence_) + "}}";
+      return 409;
+    }
+    fence_ = fence;
+    if (r.target() == "/v1/drain") draining_ = true;
+    if (r.target() == "/v1/undrain") draining_ = false;
+    keep();
+    body = std::string("{\"draining\":") + (draining_ ? "true" : "false") +
+           ",\"held\":" + std::to_string(held_) + "}";
+    return 200;
+  }
+  std::string status() const {
+    const bool ready = !draining_ && !is("unready");
+    return "{\"name\":\"" + name_ + "\",\"run\":\"" + run_ + "\",\"pid\":" + std::to_string(::getpid()) +
+           ",\"version\":\"standin\",\"generation\":" + std::to_string(generation_) +
+           ",\"ready\":" + (ready ? "true" : "false") + ",\"draining\":" + (draining_ ? "true" : "false") +
+           ",\"stopping\":false,\"fence\":" + std::to_string(fence_) +
+           ",\"trouble\":\"\",\"held\":{\"total\":" + std::to_string(held_) +
+           ",\"given_up\":0,\"by_class\":{},\"oldest_ms\":0,\"by_age_ms\":{}}}";
+  }
+
+  net::io_context& io_;
+  std::string state_, run_, name_;
+  std::uint64_t generation_ = 0, fence_ = 0, held_ = 0;
+  bool draining_ = false;
+  std::set<std::string> behave_;
+  local::acceptor acceptor_;
+  net::steady_timer timer_;
+};
+
+int run(int count, char** words) {
+  std::string config, state, settings, run_id, undrain;
+  for (int i = 1; i + 1 < count; i += 2) {
+    const std::string word = words[i];
+    (word == "--config"     ? config
+     : word == "--state"    ? state
+     : word == "--settings" ? settings
+     : word == "--run"      ? run_id
+                            : undrain) = words[i + 1];
+  }
+  // One process on a folder: what the tests look for.
+  const int lock = ::open((state + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  if (lock < 0 || ::flock(lock, LOCK_EX | LOCK_NB) != 0) {
+    std::fprintf(stderr, "TWO PROCESSES on %s\n", state.c_str());
+    return 9;
+  }
+  if (whole(settings).find("socket = true") == std::string::npos) return 8;
+  net::io_context io(1);
+  Relay relay(io, state, config, run_id);
+  std::fprintf(stderr, "standin: run %s\n", run_id.c_str());
+  if (relay.is("crash")) return 3;
+  net::signal_set ends(io);
+  if (relay.is("deaf"))
+    std::signal(SIGTERM, SIG_IGN);
+  else
+    ends.add(SIGTERM);
+  ends.async_wait([&io](error_code bad, int) {
+    if (!bad) io.stop();
+  });
+  if (!undrain.empty()) relay.undrain(std::stoull(undrain));
+  relay.start();
+  io.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int count, char** words) {
+  try {
+    return run(count, words);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "standin: %s\n", e.what());
+    return 1;
+  }
+}
