--- a/fleet/converge.cpp
+++ b/fleet/converge.cpp
@@ -17,6 +17,7 @@
     if (ending(row)) return Phase::stopping;
     if (stalled(now, s)) return Phase::stalled;
     if (!s.status) return s.looping ? Phase::looping : Phase::starting;
+    if (s.status->stopping) return Phase::stopping;
     if (s.status->draining) return Phase::draining;
     if (s.status->ready) return Phase::ready;
     return s.looping ? Phase::looping : Phase::unready;
@@ -75,7 +76,7 @@
     row.drain_kept = true;
     if (row.desired != Desired::running) {
       row.ended_drained = true;
-    } else if (*end.drained >= row.fence) {
+    } else if (*end.drained > row.fence) {
       // Someone else drained it, later than any operation of this agent: it stays ended.
       row.desired = Desired::drained;
       row.ended_drained = true;
