--- a/cli/demo_world.cpp
+++ b/cli/demo_world.cpp
@@ -56,8 +56,7 @@
   if (gone > 0) return {"gone", Tone::dim};
   if (draining) return {"draining", Tone::warn};
   if (out > 0) {
-    std::snprintf(text, sizeof text, "out at %zu of %zu", out, asked);
-    return {text, Tone::bad};
+    return {"out at " + std::to_string(out) + " of " + std::to_string(asked), Tone::bad};
   }
   if (wait_ms > 0) {
     std::snprintf(text, sizeof text, "told to wait %.1fs", wait_ms / 1e3);
