heronvanectl: rollback finds its generation; names and limits as the agent takes them

The agent asks for a generation in each rollback; without one the tool takes that before the last apply or rollback. Names are a-z, 0-9 and -, cores is a limit. Help fits 80 columns.

--- a/cli/changing.cpp
+++ b/cli/changing.cpp
@@ -154,10 +154,22 @@
   return carry_out(std::move(results), c.options.wait);
 }
 
+std::uint64_t Run::before_the_last(Port& port) {
+  for (const auto& o : port.as(port.get("/v1/operations?limit=50"), read_operations))
+    if ((o.kind == "apply" || o.kind == "rollback") && o.generation > 1)
+      return static_cast<std::uint64_t>(o.generation) - 1;
+  throw Failure{
+      kRefused,
+      "agent " + port.address() + ": none of its last 50 operations changed the fleet from another one",
+      "name the generation to go back to: " + port.command + " rollback GENERATION", "", false};
+}
+
 int Run::planned(Draft draft, bool yes, const char* question) {
   const bool dry = draft.dry_run;
   std::vector<std::int64_t> generations(session_.ports().size(), 0);
+  std::vector<Draft> drafts;
   draft.dry_run = true;
+  drafts.assign(session_.ports().size(), draft);
   const auto index = [&](const Port& p) {
     const auto& ports = session_.ports();
     return static_cast<std::size_t>(
@@ -167,7 +179,9 @@
   auto plans = session_.ask<Both<Operation>>([&](Port& p) {
     auto& g = generations[index(p)];
     g = p.as(p.get("/v1/fleet"), read_generation);
-    return post(p, draft, g);
+    auto& d = drafts[index(p)];
+    if (d.kind == "rollback" && !d.to) d.to = before_the_last(p);
+    return post(p, d, g);
   });
   const auto diffs = [&](const auto& all) {
     std::string out;
@@ -189,7 +203,7 @@
       return kRefused;
     }
   }
-  draft.dry_run = false;
+  for (auto& d : drafts) d.dry_run = false;
   auto started = session_.ask<Both<Operation>>([&](Port& p) {
     const auto i = index(p);
     if (const auto* f = std::get_if<Failure>(&plans[i])) throw *f;
@@ -199,7 +213,7 @@
       same.value.state = "done";
       return same;
     }
-    return post(p, draft, generations[i]);
+    return post(p, drafts[i], generations[i]);
   });
   return carry_out(std::move(started), draft.options.wait);
 }
--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -67,7 +67,7 @@
   ChangeOptions options;
 };
 struct Rollback {
-  std::optional<std::uint64_t> to;  // none: the agent takes the generation before
+  std::optional<std::uint64_t> to;  // none: the one before the last apply or rollback
   bool dry_run = false, yes = false;
   ChangeOptions options;
 };
--- a/cli/fleet_file.cpp
+++ b/cli/fleet_file.cpp
@@ -134,6 +134,11 @@
     Section s(table, "fleet.limits", file_);
     w_.Key("limits");
     w_.StartObject();
+    if (const auto* node = s.find("cores")) {
+      const auto n = node->value<double>();
+      if (!n || !(*n > 0 && *n <= 1024)) s.malformed(node, "cores", "must be a number above 0, up to 1024");
+      w_.Key("cores"), w_.Double(*n);
+    }
     for (const char* key : {"disk_mb", "memory_mb", "sockets"})
       if (const auto n = s.whole(key, 1, 1'000'000'000, 0); n > 0) w_.Key(key), w_.Int64(n);
     s.done();
@@ -198,11 +203,8 @@
         if (!one.is_table()) top.malformed(&one, "instance", "must be a table: [[instance]]");
         Section s(*one.as_table(), "instance", file_);
         const auto name = s.text("name");
-        if (name.size() > 64 || name[0] == '.' || name[0] == '-' ||
-            name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-") !=
-                name.npos)
-          s.malformed(s.get("name"), "name",
-                      "\"" + name + "\" must be letters, digits, . _ -, up to 64, the first none of . -");
+        if (name.size() > 64 || name.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") != name.npos)
+          s.malformed(s.get("name"), "name", "\"" + name + "\" must be a-z, 0-9 and -, up to 64 of them");
         if (!names.insert(name).second) s.malformed(s.get("name"), "name", "\"" + name + "\" is used twice");
         w_.StartObject();
         text("name", name);
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -37,15 +37,14 @@
     app_.fallthrough();
     app_.set_help_all_flag("--help-all", "Help of every command");
     auto& g = invocation_.global;
-    app_.add_option("--agent", g.agents, "An agent: its socket's path or https://HOST:PORT; repeatable")
+    app_.add_option("--agent", g.agents, "Its socket or https://HOST:PORT; repeatable")
         ->allow_extra_args(false)
         ->type_name("PATH|URL");
     app_.add_option("--cert", g.cert, "Client certificate for https agents (PEM)")->type_name("FILE");
     app_.add_option("--key", g.key, "Its key (PEM)")->type_name("FILE");
     app_.add_option("--ca", g.ca, "Who signed the agents' certificates (PEM)")->type_name("FILE");
     app_.add_option("-o,--output", output_, "table or json")->check(CLI::IsMember({"table", "json"}));
-    app_.add_option("--timeout", timeout_,
-                    "Seconds to wait for an answer (10), for an operation's end (no limit)")
+    app_.add_option("--timeout", timeout_, "For an answer (10), for an operation's end (none)")
         ->check(CLI::Range(0.1, 86400.0))
         ->type_name("SECONDS");
     app_.add_flag("--version", version_flag_, "The same as the command version");
@@ -118,7 +117,8 @@
           Rollback{number_ > 0 ? std::optional(number_) : std::nullopt, dry_run_, yes_, change()};
       if (number_ > 0) one_agent("rollback", "generations count apart on each agent");
     });
-    r->add_option("GENERATION", number_, "Without it: the one before")->check(CLI::Range(1ull, 1ull << 53));
+    r->add_option("GENERATION", number_, "Without it: before the last apply")
+        ->check(CLI::Range(1ull, 1ull << 53));
     for (auto* c : {a, r}) {
       c->add_flag("--dry-run", dry_run_, "Show what would change, and change nothing");
       c->add_flag("-y,--yes", yes_, "Do not ask");
--- a/cli/run.hpp
+++ b/cli/run.hpp
@@ -73,6 +73,8 @@
   Both<Operation> post(Port& port, const Draft& draft, std::int64_t generation);
   int carry_out(Results<Operation> started, bool wait);
   int wait_for(Results<Operation>& operations);  // kDone, or kInterrupted, or kPartial where time ran out
+  // The generation before the last apply or rollback.
+  static std::uint64_t before_the_last(Port& port);
   int planned(Draft draft, bool yes, const char* question);
 
   const Global& global_;
--- a/cli/waiting.cpp
+++ b/cli/waiting.cpp
@@ -83,7 +83,7 @@
     });
   }
   Progress progress;
-  int exit = kDone;
+  int exit = kDone;  // as a wait
   const auto take = [&](Update& u) {
     if (auto* news = std::get_if<std::pair<Operation, std::string>>(&u.what)) {
       auto& b = std::get<Both<Operation>>(operations[u.port]);
@@ -154,6 +154,8 @@
   }
   finish(started, [&](const auto& all) {
     std::string out;
+    if (waited == kInterrupted) return out;  // how to go on has been said
+
     for (const auto& one : all)
       out += (out.empty() ? "" : "\n") + render_operation(one, style_of(1), unix_ms());
     return out;
--- a/tests/cli/apply_test.cpp
+++ b/tests/cli/apply_test.cpp
@@ -135,5 +135,24 @@
       << posts[1].body;
 }
 
+TEST_F(Apply, RollbackWithoutAGenerationGoesBeforeTheLastApply) {
+  agent.on(
+      "GET /v1/operations?limit=50",
+      R"({"operations":[{"id":9,"kind":"drain","state":"done","generation":12},)"
+      R"({"id":8,"kind":"apply","state":"done","generation":11},{"id":1,"kind":"apply","generation":1}]})");
+  const auto r = run_tool(words({"rollback", "--dry-run"}));
+  EXPECT_EQ(r.exit, 0) << r.err;
+  EXPECT_TRUE(has(agent.requests("POST /v1/operations").at(0).body, "\"to\":10")) << r.err;
+}
+
+TEST_F(Apply, RollbackOfAFirstApplyIsRefused) {
+  agent.on("GET /v1/operations?limit=50",
+           R"({"operations":[{"id":1,"kind":"apply","state":"done","generation":1}]})");
+  const auto r = run_tool(words({"rollback"}));
+  EXPECT_EQ(r.exit, 2);
+  EXPECT_TRUE(has(r.err, "rollback GENERATION")) << r.err;
+  EXPECT_TRUE(agent.requests("POST /v1/operations").empty());
+}
+
 }  // namespace
 }  // namespace heronvane::cli::test
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -1,6 +1,10 @@
 // The built program against a scripted agent: exit status, standard output, standard error.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <sstream>
+
+#include "cli/commands.hpp"
 #include "stand_in.hpp"
 
 namespace heronvane::cli::test {
@@ -10,6 +14,13 @@
 
 bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 
+std::size_t longest(const std::string& text) {
+  std::size_t most = 0;
+  std::istringstream lines(text);
+  for (std::string l; std::getline(lines, l);) most = std::max(most, l.size());
+  return most;
+}
+
 class Commands : public Test {
  protected:
   Folder folder;
@@ -145,7 +156,12 @@
 TEST_F(Commands, HelpAndVersionNeedNoAgent) {
   EXPECT_EQ(run_tool({"--help"}).exit, 0);
   EXPECT_TRUE(has(run_tool({"--help"}).out, "rollback"));
-  EXPECT_EQ(run_tool({"drain", "--help"}).exit, 0);
+  for (const auto& c : kCommands) {
+    const auto r = run_tool({std::string(c.name), "--help"});
+    EXPECT_EQ(r.exit, 0);
+    EXPECT_LE(longest(r.out), 80u) << r.out;
+  }
+  EXPECT_LE(longest(run_tool({"--help"}).out), 80u);
   const auto v = run_tool({"--version"}, {"HERONVANE_AGENT=" + folder.file("none.sock")});
   EXPECT_EQ(v.exit, 0);
   EXPECT_TRUE(has(v.out, "heronvanectl ") && has(v.out, "no agent at ")) << v.out;
