--- a/cli/session.cpp
+++ b/cli/session.cpp
@@ -117,6 +117,8 @@
   f.what = named() + ": " + e.message;
   f.next = e.hint;
   f.unknown = e.code == "unknown";
+  if (f.unknown && e.message.find(' ') == std::string::npos) f.what = named() + ": there is no " + e.message;
+  if (f.unknown && f.next.empty()) f.next = "see what there is: " + command + " list";
   if (e.code == "conflict") {
     f.exit = kConflict;
     if (e.with) {
@@ -241,10 +243,15 @@
   Overlap overlap(200);
   bool first = true;
   persist([&](Attempt& attempt) {
-    const auto n = first ? lines : overlap.known();
-    if (!first) overlap.broke();
-    auto a = client_.follow("/v1/instances/" + instance + "/log?lines=" + std::to_string(n) + "&follow=1",
-                            patience_, kSilent, [&](std::string_view bytes) {
+    const auto log = "/v1/instances/" + instance + "/log?lines=";
+    auto n = lines;
+    if (!first && overlap.known() > 0) {
+      const auto now_there = checked(client_.get(log + std::to_string(overlap.most()), patience()), false);
+      if (const auto fresh = overlap.catch_up(now_there); !fresh.empty()) take(fresh);
+      n = overlap.known();
+    }
+    auto a = client_.follow(log + std::to_string(n) + "&follow=1", patience_, kSilent,
+                            [&](std::string_view bytes) {
                               attempt.connected = true;
                               first = false;
                               if (!bytes.empty()) attempt.got_on = true;
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -232,6 +232,14 @@
   EXPECT_TRUE(has(r.err, "n0 has no drain") && has(r.err, "next: set admin.drain")) << r.err;
 }
 
+TEST_F(Commands, ANameAloneIsNoReason) {
+  script_fleet(agent);
+  agent.on("POST /v1/operations", Reply::error(404, "unknown", "n7"));
+  const auto r = run({"up", "n7"});
+  EXPECT_EQ(r.exit, 2);
+  EXPECT_TRUE(has(r.err, "there is no n7") && has(r.err, " list")) << r.err;
+}
+
 TEST_F(Commands, AnswersThatMakeNoSense) {
   agent.on("GET /v1/instances", "{\"generation\":12,\"instances\":[7]}");
   const auto odd = run({"list"});
--- a/tests/cli/stand_in.cpp
+++ b/tests/cli/stand_in.cpp
@@ -63,6 +63,9 @@
                   "\"" + more + "}}",
               status);
 }
+Reply Reply::text(const std::string& body) {
+  return raw(head(200, "text/plain") + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
 Reply Reply::raw(const std::string& bytes) {
   Reply r;
   r.pieces.push_back(bytes);
--- a/tests/cli/stand_in.hpp
+++ b/tests/cli/stand_in.hpp
@@ -38,6 +38,7 @@
   static Reply json(const std::string& body, int status = 200);
   static Reply error(int status, const std::string& code, const std::string& message,
                      const std::string& hint = "", const std::string& more = "");
+  static Reply text(const std::string& body);
   static Reply raw(const std::string& bytes);
   static Reply chunked(const std::vector<std::string>& pieces, bool ended,
                        const std::string& type = "application/json");
