--- /dev/null
+++ b/tests/fleet/agent_test.cpp
@@ -0,0 +1,295 @@
+// The agent among relays that crash, stall, drain and vanish.
+#include "agent_harness.hpp"
+
+namespace heronvane::fleet::testing {
+namespace {
+
+TEST_F(AgentTest, ARelayThatWasKilledIsBack) {
+  start_agent();
+  serve(3);
+  const auto before = instances();
+  ASSERT_EQ(relays().size(), 3u);
+  ::kill(before.at("n1").pid, SIGKILL);
+  wait_for([&] { const auto now = instances()["n1"]; return now.phase == "ready" && now.run != before.at("n1").run; },
+           "it is back");
+  const auto now = instances();
+  EXPECT_EQ(now.at("n0").pid, before.at("n0").pid);
+  EXPECT_EQ(now.at("n2").run, before.at("n2").run);
+  EXPECT_EQ(now.at("n1").last_exit, "signal 9");
+  EXPECT_EQ(now.at("n1").restarts, 1u);
+  EXPECT_EQ(relays().size(), 3u);
+  expect_single(3);
+}
+
+TEST_F(AgentTest, ARelayThatStandsStillIsEndedAndStartedAgain) {
+  start_agent();
+  serve(2);
+  const auto before = instances();
+  ::kill(before.at("n0").pid, SIGSTOP);
+  wait_for([&] { return phase("n0") == "stalled"; }, "it is told as stalled");
+  EXPECT_TRUE(identify(before.at("n0").pid));
+  wait_for([&] { const auto now = instances()["n0"]; return now.phase == "ready" && now.run != before.at("n0").run; },
+           "it is back");
+  EXPECT_FALSE(identify(before.at("n0").pid));
+  EXPECT_EQ(relays().size(), 2u);
+  expect_single(2);
+}
+
+TEST_F(AgentTest, AnAgentThatWasKilledFindsItsRelaysAndDisturbsNone) {
+  start_agent();
+  serve(3);
+  const auto before = instances();
+  kill_agent();
+  EXPECT_EQ(relays().size(), 3u);
+  start_agent();
+  wait_for([&] { return all_in("ready", 3); }, "all are ready again");
+  for (const auto& [name, i] : instances()) {
+    EXPECT_EQ(i.pid, before.at(name).pid);
+    EXPECT_EQ(i.run, before.at(name).run);
+    EXPECT_EQ(i.restarts, before.at(name).restarts);
+  }
+  // What it adopted it still watches.
+  ::kill(before.at("n2").pid, SIGKILL);
+  wait_for([&] { const auto now = instances()["n2"]; return now.phase == "ready" && now.run != before.at("n2").run; },
+           "one that was adopted is back");
+  EXPECT_EQ(relays().size(), 3u);
+  expect_single(3);
+}
+
+TEST_F(AgentTest, ARelayThatEndedWhileNoAgentLookedIsStartedAgain) {
+  start_agent();
+  serve(2);
+  const auto before = instances();
+  kill_agent();
+  ::kill(before.at("n0").pid, SIGKILL);
+  wait_for([&] { return !identify(before.at("n0").pid); }, "it has ended");
+  start_agent();
+  wait_for([&] { const auto now = instances()["n0"]; return now.phase == "ready" && now.run != before.at("n0").run; },
+           "it is back");
+  EXPECT_EQ(instances()["n1"].pid, before.at("n1").pid);
+  EXPECT_EQ(relays().size(), 2u);
+}
+
+TEST_F(AgentTest, SigtermEndsTheAgentAndLeavesTheRelays) {
+  start_agent();
+  serve(2);
+  const auto before = relays();
+  ::kill(agent, SIGTERM);
+  int status = 0;
+  wait_for([&] { return agent_gone(&status); }, "the agent ends");
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  EXPECT_EQ(relays(), before);
+}
+
+TEST_F(AgentTest, StopRelaysEndsThemToo) {
+  start_agent({"--stop-relays"});
+  serve(2);
+  ::kill(agent, SIGTERM);
+  int status = 0;
+  wait_for([&] { return agent_gone(&status); }, "the agent ends");
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  EXPECT_TRUE(relays().empty());
+}
+
+// The folder is one agent's; the second says so and touches nothing.
+TEST_F(AgentTest, ASecondAgentIsRefused) {
+  start_agent();
+  serve(1);
+  const pid_t first = agent;
+  start_agent({}, false);
+  int status = 0;
+  wait_for([&] { return agent_gone(&status); }, "the second ends");
+  agent = first;
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 1);
+  EXPECT_NE(whole(folder + "/agent.log").find("another heronvane-agent has it"), std::string::npos);
+  EXPECT_EQ(get("/v1/agent").status, 200u);
+}
+
+TEST_F(AgentTest, ARelayWithoutItsStateFolderStartsOnANewOne) {
+  start_agent();
+  serve(2);
+  const auto before = instances();
+  std::filesystem::remove_all(data() + "/instances/n0/state");
+  wait_for([&] { const auto now = instances()["n0"]; return now.phase == "ready" && now.run != before.at("n0").run; },
+           "it is back");
+  EXPECT_TRUE(std::filesystem::exists(data() + "/instances/n0/state/admin.sock"));
+  EXPECT_EQ(instances()["n1"].pid, before.at("n1").pid);
+  EXPECT_EQ(relays().size(), 2u);
+}
+
+TEST_F(AgentTest, DrainAllWaitsForWhatIsHeldAndUndrainBringsThemBack) {
+  start_agent();
+  serve(3);
+  behave("n1", "held=5");
+  wait_done(operate(R"({"kind":"restart","names":["n1"]})"));
+  const auto drain = operate(R"({"kind":"drain","names":"all"})");
+  wait_done(drain);
+  EXPECT_TRUE(all_in("drained", 3));
+  EXPECT_TRUE(relays().empty());
+  // The drain outlasts the agent.
+  kill_agent();
+  start_agent();
+  EXPECT_TRUE(all_in("drained", 3));
+  behave("n1", "");
+  wait_done(operate(R"({"kind":"undrain","names":"all"})"));
+  EXPECT_TRUE(all_in("ready", 3));
+  EXPECT_EQ(relays().size(), 3u);
+}
+
+TEST_F(AgentTest, DownEndsARelayThatIgnoresSigterm) {
+  start_agent();
+  serve(1);
+  behave("n0", "deaf");
+  wait_done(operate(R"({"kind":"restart","names":["n0"]})"));
+  wait_done(operate(R"({"kind":"down","names":["n0"]})"));
+  EXPECT_EQ(phase("n0"), "stopped");
+  EXPECT_TRUE(relays().empty());
+}
+
+TEST_F(AgentTest, ACrashLoopIsToldAndEndsOnceMended) {
+  start_agent();
+  serve(1);
+  behave("n0", "crash");
+  ::kill(instances()["n0"].pid, SIGKILL);
+  wait_for([&] { return phase("n0") == "looping"; }, "it is told as looping");
+  EXPECT_EQ(instances()["n0"].last_exit, "status 3");
+  behave("n0", "");
+  wait_for([&] { return phase("n0") == "ready"; }, "it is ready");
+}
+
+// A pid that was recorded belongs to another process now: it is nobody's.
+TEST_F(AgentTest, APidOfAnotherProcessIsLeftAlone) {
+  start_agent();
+  serve(1);
+  kill_agent();
+  for (const auto& [run, id] : relays()) ::kill(id.pid, SIGKILL);
+  wait_for([&] { return relays().empty(); }, "it has ended");
+  // The database tells of this process, which is the test itself, with another start time; then with its own.
+  for (const bool same_time : {false, true}) {
+    const auto own = identify(::getpid());
+    ASSERT_TRUE(own);
+    const std::string sql = "UPDATE instances SET live=1, pid=" + std::to_string(own->pid) + ", start_time=" +
+                            std::to_string(own->start_time + (same_time ? 0 : 1)) + ", boot='" + own->boot + "'";
+    edit(sql);
+    start_agent();
+    wait_for([&] { return phase("n0") == "ready"; }, "it is started anew");
+    EXPECT_NE(instances()["n0"].pid, own->pid);
+    wait_done(operate(R"({"kind":"down","names":"all"})"));
+    wait_done(operate(R"({"kind":"up","names":"all"})"));
+    kill_agent();
+    for (const auto& [run, id] : relays()) ::kill(id.pid, SIGKILL);
+    wait_for([&] { return relays().empty(); }, "it has ended");
+  }
+}
+
+// The agent was killed between a start and its record: it is known by its run.
+TEST_F(AgentTest, AProcessWhosePidWasNeverRecordedIsFound) {
+  start_agent();
+  serve(1);
+  const auto before = instances()["n0"];
+  kill_agent();
+  edit("UPDATE instances SET pid=0, start_time=0, boot=''");
+  start_agent();
+  wait_for([&] { return phase("n0") == "ready"; }, "it is found");
+  EXPECT_EQ(instances()["n0"].pid, before.pid);
+  EXPECT_EQ(instances()["n0"].run, before.run);
+  expect_single(1);
+}
+
+TEST_F(AgentTest, AFullDatabaseIsToldAndDisturbsNoRelay) {
+  start_agent();
+  serve(2);
+  const auto before = instances();
+  kill_agent();
+  environment["HERONVANE_AGENT_MOST_PAGES"] = "1";  // of which it has more already
+  start_agent();
+  wait_for([&] { return all_in("ready", 2); }, "all are ready");
+  const std::string big = fleet(2, R"(,"settings":{},"platform":{"listen":"127.0.0.1:19999","partners":[{"name":")" +
+                                       std::string(400'000, 'x') + R"("}]})");
+  const auto answer = post(apply(big));
+  EXPECT_EQ(answer.status, 507u) << answer.body;
+  EXPECT_NE(answer.body.find("\"storage\""), std::string::npos);
+  for (const auto& [name, i] : instances()) EXPECT_EQ(i.pid, before.at(name).pid);
+  kill_agent();
+  environment.clear();
+  start_agent();
+  wait_for([&] { return all_in("ready", 2); }, "all are ready");
+  for (const auto& [name, i] : instances()) EXPECT_EQ(i.pid, before.at(name).pid);
+  wait_done(operate(R"({"kind":"restart","names":["n0"]})"));
+}
+
+TEST_F(AgentTest, ADiskThatTakesNoMoreIsBorne) {
+  start_agent();
+  serve(2);
+  const auto before = instances();
+  kill_agent();
+  largest_file = 64 << 10;
+  start_agent();
+  wait_for([&] { return all_in("ready", 2); }, "all are ready");
+  // Operations until one can't be recorded any more.
+  unsigned status = 202;
+  for (int i = 0; i < 200 && status != 507; i++) {
+    const auto a = post(R"({"kind":"undrain","names":["n0"],"supersede":true,"by":")" + std::string(200, 'x') + "\"}");
+    status = a.status;
+  }
+  EXPECT_EQ(status, 507u);
+  EXPECT_EQ(get("/v1/instances").status, 200u);
+  EXPECT_EQ(instances()["n1"].pid, before.at("n1").pid);
+  kill_agent();
+  largest_file = 0;
+  start_agent();
+  wait_for([&] { return all_in("ready", 2); }, "all are ready");
+  EXPECT_EQ(instances()["n1"].pid, before.at("n1").pid);
+  wait_done(operate(R"({"kind":"restart","names":["n0"],"supersede":true})"));
+}
+
+TEST_F(AgentTest, ChangesOfAnOperationAreToldAsTheyCome) {
+  start_agent();
+  serve(2);
+  const auto id = operate(R"({"kind":"restart","names":"all","max_unavailable":1})");
+  const auto followed = get("/v1/operations/" + std::to_string(id) + "?follow=1");
+  EXPECT_EQ(followed.status, 200u);
+  std::vector<std::string> lines;
+  std::istringstream in(followed.body);
+  for (std::string line; std::getline(in, line);) lines.push_back(line);
+  ASSERT_GE(lines.size(), 3u);
+  for (const auto& line : lines) EXPECT_EQ(parse_json(line)["id"].GetUint64(), id);
+  EXPECT_STREQ(parse_json(lines.back())["state"].GetString(), "done");
+}
+
+TEST_F(AgentTest, LogsAndMessagesAreTold) {
+  start_agent();
+  serve(2);
+  EXPECT_NE(get("/v1/instances/n0/log?lines=5").body.find("standin: run " + instances()["n0"].run), std::string::npos);
+  const auto v = get("/v1/messages/known-n1").json();
+  ASSERT_TRUE(v.IsObject());
+  ASSERT_EQ(v["found"].Size(), 1u);
+  EXPECT_STREQ(v["found"][0]["instance"].GetString(), "n1");
+  EXPECT_EQ(v["not_asked"].Size(), 0u);
+  ::kill(instances()["n0"].pid, SIGSTOP);
+  const auto partial = get("/v1/messages/known-n1").json();
+  ASSERT_EQ(partial["not_asked"].Size(), 1u);
+  EXPECT_STREQ(partial["not_asked"][0].GetString(), "n0");
+}
+
+// A log over its bound is copied and cut while the relay writes on.
+TEST_F(AgentTest, ALogIsRotated) {
+  start_agent();
+  serve(1);
+  const std::string log = data() + "/instances/n0/log";
+  std::filesystem::resize_file(log, 10'000'001);
+  wait_for([&] { return std::filesystem::exists(log + ".1") && std::filesystem::file_size(log) < 1'000; }, "it is cut");
+  EXPECT_EQ(std::filesystem::file_size(log + ".1"), 10'000'001u);
+}
+
+TEST_F(AgentTest, OneThatLeavesTheFleetIsDrainedAndItsFolderGoes) {
+  start_agent();
+  serve(3);
+  wait_done(operate(apply(fleet(2))));
+  wait_for([&] { return !std::filesystem::exists(data() + "/instances/n2"); }, "its folder has gone");
+  EXPECT_EQ(instances().size(), 2u);
+  EXPECT_EQ(relays().size(), 2u);
+}
+
+}  // namespace
+}  // namespace heronvane::fleet::testing
--- /dev/null
+++ b/tests/fleet/api_server_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- a/tests/fleet/standins/relay_standin.cpp
+++ b/tests/fleet/standins/relay_standin.cpp
@@ -91,6 +91,9 @@
 
   void keep() { replace(state_ + "/kept", std::to_string(fence_) + " " + std::to_string(draining_)); }
   void look() {
+    // It never outlives its test, however the test ends.
+    if (const char* owner = std::getenv("STANDIN_OWNER"))
+      if (::kill(static_cast<pid_t>(std::atol(owner)), 0) != 0) return io_.stop();
     if (draining_ && held_ == 0) {
       replace(state_ + "/drained", "{\"fence\":" + std::to_string(fence_) + ",\"run\":\"" + run_ + "\"}");
       return io_.stop();
