--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -174,6 +174,11 @@
   options.point = kill_point();
   if (const char* pages = std::getenv("HERONVANE_AGENT_MOST_PAGES"))
     options.database.most_pages = std::atoi(pages);
+  if (std::getenv("HERONVANE_AGENT_HASTE") != nullptr) {
+    options.tuning.stalled_kill = 4'000'000;
+    options.tuning.term_grace = 500'000;
+    options.tuning.backoff_first = 50'000;
+  }
 #endif
   Agent agent(io, options);
   Api api(agent);
--- a/tests/fleet/agent_harness.hpp
+++ b/tests/fleet/agent_harness.hpp
@@ -64,7 +64,8 @@
   std::string all;
   if (::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0) {
     char piece[4096];
-    for (ssize_t n = 0; (n = ::recv(fd, piece, sizeof piece, 0)) > 0;) all.append(piece, static_cast<std::size_t>(n));
+    for (ssize_t n = 0; (n = ::recv(fd, piece, sizeof piece, 0)) > 0;)
+      all.append(piece, static_cast<std::size_t>(n));
   }
   ::close(fd);
   return all;
@@ -91,7 +92,8 @@
 }
 inline Answer ask(const std::string& path, const std::string& method, const std::string& target,
                   const std::string& body = "") {
-  return read_answer(converse(path, method + " " + target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+  return read_answer(converse(path, method + " " + target +
+                                        " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
                                         std::to_string(body.size()) + "\r\n\r\n" + body));
 }
 
@@ -99,7 +101,8 @@
  protected:
   AgentTest() {
     ::prctl(PR_SET_CHILD_SUBREAPER, 1);  // relays of agents that were killed become children of the test
-    folder = (std::filesystem::temp_directory_path() / ("heronvane-agent-test-" + std::to_string(::getpid()))).string();
+    folder = (std::filesystem::temp_directory_path() / ("heronvane-agent-test-" + std::to_string(::getpid())))
+                 .string();
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
   }
@@ -155,11 +158,14 @@
   std::string fleet(int count, const std::string& more = "") const {
     std::string all;
     for (int i = 0; i < count; i++)
-      all += std::string(i > 0 ? "," : "") + R"({"name":"n)" + std::to_string(i) + R"(","listen":"127.0.0.1:)" +
-             std::to_string(20000 + i) + "\"}";
-    return R"({"program":")" + program + R"(","discovery":"127.0.0.1:1")" + more + R"(,"instances":[)" + all + "]}";
+      all += std::string(i > 0 ? "," : "") + R"({"name":"n)" + std::to_string(i) +
+             R"(","listen":"127.0.0.1:)" + std::to_string(20000 + i) + "\"}";
+    return R"({"program":")" + program + R"(","discovery":"127.0.0.1:1")" + more + R"(,"instances":[)" + all +
+           "]}";
+  }
+  static std::string apply(const std::string& fleet) {
+    return R"({"kind":"apply","by":"test","fleet":)" + fleet + "}";
   }
-  static std::string apply(const std::string& fleet) { return R"({"kind":"apply","by":"test","fleet":)" + fleet + "}"; }
 
   // The operation that this request makes; 0 where it is refused.
   std::uint64_t operate(const std::string& body) {
@@ -173,7 +179,12 @@
     return v.IsObject() && v.HasMember("state") ? v["state"].GetString() : "";
   }
   void wait_done(std::uint64_t id, const std::string& state = "done") {
-    wait_for([&] { const auto s = state_of(id); return !s.empty() && s != "running"; }, "the operation ends");
+    wait_for(
+        [&] {
+          const auto s = state_of(id);
+          return !s.empty() && s != "running";
+        },
+        "the operation ends");
     EXPECT_EQ(state_of(id), state) << get("/v1/operations/" + std::to_string(id)).body;
   }
   struct I {
@@ -186,8 +197,9 @@
     const auto v = get("/v1/instances").json();
     if (!v.IsObject() || !v.HasMember("instances")) return all;
     for (const auto& i : v["instances"].GetArray())
-      all[i["name"].GetString()] = {i["phase"].GetString(),   i["run"].GetString(),        i["desired"].GetString(),
-                                    i["last_exit"].GetString(), i["pid"].GetInt(), i["restarts"].GetUint64(),
+      all[i["name"].GetString()] = {i["phase"].GetString(),    i["run"].GetString(),
+                                    i["desired"].GetString(),  i["last_exit"].GetString(),
+                                    i["pid"].GetInt(),         i["restarts"].GetUint64(),
                                     i["operation"].GetUint64()};
     return all;
   }
@@ -201,7 +213,8 @@
   // Applies a fleet of stand-ins, and waits until all are ready.
   void serve(int count, const std::string& more = "") {
     wait_done(operate(apply(fleet(count, more))));
-    if (!all_in("ready", static_cast<std::size_t>(count))) wait_done(operate(R"({"kind":"up","names":"all"})"));
+    if (!all_in("ready", static_cast<std::size_t>(count)))
+      wait_done(operate(R"({"kind":"up","names":"all"})"));
     wait_for([&] { return all_in("ready", static_cast<std::size_t>(count)); }, "all are ready");
   }
 
@@ -214,7 +227,9 @@
     }
     return all;
   }
-  std::string instance_log(const std::string& name) const { return whole(data() + "/instances/" + name + "/log"); }
+  std::string instance_log(const std::string& name) const {
+    return whole(data() + "/instances/" + name + "/log");
+  }
   // No two processes have ever met on one folder.
   void expect_single(int count) {
     for (int i = 0; i < count; i++)
@@ -240,15 +255,16 @@
     const auto until = std::chrono::steady_clock::now() + kPatience;
     while (!condition()) {
       if (std::chrono::steady_clock::now() > until) {
-        FAIL() << "waited in vain until " << what << "; instances: " << get("/v1/instances").body << "\noperations: "
-               << get("/v1/operations?limit=3").body << "\nlog:\n" << whole(folder + "/agent.log");
+        FAIL() << "waited in vain until " << what << "; instances: " << get("/v1/instances").body
+               << "\noperations: " << get("/v1/operations?limit=3").body << "\nlog:\n"
+               << whole(folder + "/agent.log");
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
   }
 
   std::string folder, program = STANDIN_PROGRAM;
-  std::map<std::string, std::string> environment;
+  std::map<std::string, std::string> environment{{"HERONVANE_AGENT_HASTE", "1"}};
   rlim_t largest_file = 0;  // that the agent and its relays may write; 0: any
   pid_t agent = -1;
 };
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -10,8 +10,12 @@
   const auto before = instances();
   ASSERT_EQ(relays().size(), 3u);
   ::kill(before.at("n1").pid, SIGKILL);
-  wait_for([&] { const auto now = instances()["n1"]; return now.phase == "ready" && now.run != before.at("n1").run; },
-           "it is back");
+  wait_for(
+      [&] {
+        const auto now = instances()["n1"];
+        return now.phase == "ready" && now.run != before.at("n1").run;
+      },
+      "it is back");
   const auto now = instances();
   EXPECT_EQ(now.at("n0").pid, before.at("n0").pid);
   EXPECT_EQ(now.at("n2").run, before.at("n2").run);
@@ -28,8 +32,12 @@
   ::kill(before.at("n0").pid, SIGSTOP);
   wait_for([&] { return phase("n0") == "stalled"; }, "it is told as stalled");
   EXPECT_TRUE(identify(before.at("n0").pid));
-  wait_for([&] { const auto now = instances()["n0"]; return now.phase == "ready" && now.run != before.at("n0").run; },
-           "it is back");
+  wait_for(
+      [&] {
+        const auto now = instances()["n0"];
+        return now.phase == "ready" && now.run != before.at("n0").run;
+      },
+      "it is back");
   EXPECT_FALSE(identify(before.at("n0").pid));
   EXPECT_EQ(relays().size(), 2u);
   expect_single(2);
@@ -50,8 +58,12 @@
   }
   // What it adopted it still watches.
   ::kill(before.at("n2").pid, SIGKILL);
-  wait_for([&] { const auto now = instances()["n2"]; return now.phase == "ready" && now.run != before.at("n2").run; },
-           "one that was adopted is back");
+  wait_for(
+      [&] {
+        const auto now = instances()["n2"];
+        return now.phase == "ready" && now.run != before.at("n2").run;
+      },
+      "one that was adopted is back");
   EXPECT_EQ(relays().size(), 3u);
   expect_single(3);
 }
@@ -64,8 +76,12 @@
   ::kill(before.at("n0").pid, SIGKILL);
   wait_for([&] { return !identify(before.at("n0").pid); }, "it has ended");
   start_agent();
-  wait_for([&] { const auto now = instances()["n0"]; return now.phase == "ready" && now.run != before.at("n0").run; },
-           "it is back");
+  wait_for(
+      [&] {
+        const auto now = instances()["n0"];
+        return now.phase == "ready" && now.run != before.at("n0").run;
+      },
+      "it is back");
   EXPECT_EQ(instances()["n1"].pid, before.at("n1").pid);
   EXPECT_EQ(relays().size(), 2u);
 }
@@ -110,8 +126,12 @@
   serve(2);
   const auto before = instances();
   std::filesystem::remove_all(data() + "/instances/n0/state");
-  wait_for([&] { const auto now = instances()["n0"]; return now.phase == "ready" && now.run != before.at("n0").run; },
-           "it is back");
+  wait_for(
+      [&] {
+        const auto now = instances()["n0"];
+        return now.phase == "ready" && now.run != before.at("n0").run;
+      },
+      "it is back");
   EXPECT_TRUE(std::filesystem::exists(data() + "/instances/n0/state/admin.sock"));
   EXPECT_EQ(instances()["n1"].pid, before.at("n1").pid);
   EXPECT_EQ(relays().size(), 2u);
@@ -168,8 +188,9 @@
   for (const bool same_time : {false, true}) {
     const auto own = identify(::getpid());
     ASSERT_TRUE(own);
-    const std::string sql = "UPDATE instances SET live=1, pid=" + std::to_string(own->pid) + ", start_time=" +
-                            std::to_string(own->start_time + (same_time ? 0 : 1)) + ", boot='" + own->boot + "'";
+    const std::string sql = "UPDATE instances SET live=1, pid=" + std::to_string(own->pid) +
+                            ", start_time=" + std::to_string(own->start_time + (same_time ? 0 : 1)) +
+                            ", boot='" + own->boot + "'";
     edit(sql);
     start_agent();
     wait_for([&] { return phase("n0") == "ready"; }, "it is started anew");
@@ -204,14 +225,15 @@
   environment["HERONVANE_AGENT_MOST_PAGES"] = "1";  // of which it has more already
   start_agent();
   wait_for([&] { return all_in("ready", 2); }, "all are ready");
-  const std::string big = fleet(2, R"(,"settings":{},"platform":{"listen":"127.0.0.1:19999","partners":[{"name":")" +
-                                       std::string(400'000, 'x') + R"("}]})");
+  const std::string big =
+      fleet(2, R"(,"settings":{},"platform":{"listen":"127.0.0.1:19999","partners":[{"name":")" +
+                   std::string(400'000, 'x') + R"("}]})");
   const auto answer = post(apply(big));
   EXPECT_EQ(answer.status, 507u) << answer.body;
   EXPECT_NE(answer.body.find("\"storage\""), std::string::npos);
   for (const auto& [name, i] : instances()) EXPECT_EQ(i.pid, before.at(name).pid);
   kill_agent();
-  environment.clear();
+  environment.erase("HERONVANE_AGENT_MOST_PAGES");
   start_agent();
   wait_for([&] { return all_in("ready", 2); }, "all are ready");
   for (const auto& [name, i] : instances()) EXPECT_EQ(i.pid, before.at(name).pid);
@@ -229,7 +251,8 @@
   // Operations until one can't be recorded any more.
   unsigned status = 202;
   for (int i = 0; i < 200 && status != 507; i++) {
-    const auto a = post(R"({"kind":"undrain","names":["n0"],"supersede":true,"by":")" + std::string(200, 'x') + "\"}");
+    const auto a =
+        post(R"({"kind":"undrain","names":["n0"],"supersede":true,"by":")" + std::string(200, 'x') + "\"}");
     status = a.status;
   }
   EXPECT_EQ(status, 507u);
@@ -260,7 +283,8 @@
 TEST_F(AgentTest, LogsAndMessagesAreTold) {
   start_agent();
   serve(2);
-  EXPECT_NE(get("/v1/instances/n0/log?lines=5").body.find("standin: run " + instances()["n0"].run), std::string::npos);
+  EXPECT_NE(get("/v1/instances/n0/log?lines=5").body.find("standin: run " + instances()["n0"].run),
+            std::string::npos);
   const auto v = get("/v1/messages/known-n1").json();
   ASSERT_TRUE(v.IsObject());
   ASSERT_EQ(v["found"].Size(), 1u);
@@ -278,7 +302,8 @@
   serve(1);
   const std::string log = data() + "/instances/n0/log";
   std::filesystem::resize_file(log, 10'000'001);
-  wait_for([&] { return std::filesystem::exists(log + ".1") && std::filesystem::file_size(log) < 1'000; }, "it is cut");
+  wait_for([&] { return std::filesystem::exists(log + ".1") && std::filesystem::file_size(log) < 1'000; },
+           "it is cut");
   EXPECT_EQ(std::filesystem::file_size(log + ".1"), 10'000'001u);
 }
 
--- a/tests/fleet/fleet_file_test.cpp
+++ b/tests/fleet/fleet_file_test.cpp
@@ -1,1 +1,99 @@
+// The fleet as it is applied: slips are named, and what relays get is what they read.
+#include "fleet_file.hpp"
+
 #include <gtest/gtest.h>
+
+#include "config.hpp"
+#include "json.hpp"
+#include "operator_settings.hpp"
+
+namespace heronvane::fleet::testing {
+namespace {
+
+const std::string kTwo =
+    R"("instances":[{"name":"n0","listen":"127.0.0.1:8081"},{"name":"n1","listen":"127.0.0.1:8082"}])";
+
+std::string trouble(const std::string& json) {
+  try {
+    Fleet::read(json);
+    return "";
+  } catch (const std::exception& e) {
+    return e.what();
+  }
+}
+
+TEST(FleetFileTest, RelaysReadTheirConfiguration) {
+  const Fleet f = Fleet::read(
+      R"({"discovery":"127.0.0.1:8500","limits":{"disk_mb":7},"store":{"durability":"machine"},)" + kTwo +
+      "}");
+  const Config c = read_config(f.config("n1", 12, 0x8c1f30d27a5be964));
+  EXPECT_EQ(c.name, "n1");
+  EXPECT_EQ(c.listen.port(), 8082);
+  EXPECT_EQ(c.discovery.port(), 8500);
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.disk_bytes, 7'000'000u);
+  EXPECT_EQ(c.settings.classes.size(), 2u);
+  EXPECT_EQ(parse_json(f.config("n1", 12, 1))["generation"].GetUint64(), 12u);
+  EXPECT_EQ(f.settings(), "[admin]\nsocket = true\ndrain = true\n\n[store]\ndurability = \"machine\"\n");
+  EXPECT_EQ(f.spec().instances.size(), 2u);
+  EXPECT_EQ(f.spec().common.at("limits.disk_mb"), "7");
+  EXPECT_EQ(f.spec().instances[0].own.at("listen"), "127.0.0.1:8081");
+  EXPECT_THROW(f.config("n2", 1, 1), std::exception);
+}
+
+TEST(FleetFileTest, ThePlatformIsTheirDiscovery) {
+  const Fleet f = Fleet::read(R"({"platform":{"listen":"127.0.0.1:8500","partners":[]},)" + kTwo + "}");
+  EXPECT_EQ(read_config(f.config("n0", 1, 1)).discovery.port(), 8500);
+  EXPECT_EQ(f.platform()->partners, R"({"endpoints":[]})");
+}
+
+// A partner more changes the platform alone: no relay is restarted for it.
+TEST(FleetFileTest, PartnersAreNoPartOfConfigurations) {
+  const auto one = Fleet::read(R"({"platform":{"listen":"127.0.0.1:8500","partners":[]},)" + kTwo + "}");
+  const auto two =
+      Fleet::read(R"({"platform":{"listen":"127.0.0.1:8500","partners":[{"name":"s"}]},)" + kTwo + "}");
+  EXPECT_EQ(one.spec().common, two.spec().common);
+  EXPECT_NE(one.spec().loose, two.spec().loose);
+}
+
+TEST(FleetFileTest, SlipsAreNamed) {
+  const std::string d = R"({"discovery":"127.0.0.1:8500",)";
+  EXPECT_EQ(trouble(d + kTwo + "}"), "");
+  const std::pair<std::string, std::string> all[] = {
+      {"[]", "fleet: must be an object"},
+      {"{", "JSON: "},
+      {"{" + kTwo + "}", "fleet: without platform"},
+      {d + R"("instances":5})", "fleet.instances: must be an array"},
+      {d + R"("instnaces":[]})", "fleet.instnaces: is no field"},
+      {d + R"("instances":[{"name":"N","listen":"127.0.0.1:1"}]})", "fleet.instances[0].name: must be"},
+      {d + R"("instances":[{"name":"../x","listen":"127.0.0.1:1"}]})", "fleet.instances[0].name: must be"},
+      {d + R"("instances":[{"name":"n","listen":"localhost"}]})", "fleet.instances[0].listen"},
+      {d + R"("instances":[{"name":"n","listen":"127.0.0.1:1"},{"name":"n","listen":"127.0.0.1:2"}]})",
+       "is there already"},
+      {d + R"("instances":[{"name":"n","listen":"127.0.0.1:1"},{"name":"m","listen":"127.0.0.1:1"}]})",
+       "is n's already"},
+      {d + R"("max_unavailable":0,)" + kTwo + "}", "fleet.max_unavailable: "},
+      {d + R"("limits":{"sockets":3},)" + kTwo + "}", "fleet.limits.sockets: must be 64 or more"},
+      {d + R"("limits":{"disk":3},)" + kTwo + "}", "fleet.limits.disk: is no field"},
+      {d + R"("settings":{"Classes":5},)" + kTwo + "}", "fleet.settings.Classes: must be an array"},
+      {d + R"("store":{"durability":"disk"},)" + kTwo + "}", "store.durability: must be"},
+      {d + R"("store":{"durability":"process\"\n[admin]"},)" + kTwo + "}", "store.durability: must be"},
+      {d + R"("store":{"a\nb":1},)" + kTwo + "}", "is no setting"},
+      {d + R"("platform":{"listen":"127.0.0.1:8500"},)" + kTwo + "}", "either partners or partners_file"},
+      {d + R"("platform":{"listen":"127.0.0.1:8500","partners_file":"x"},)" + kTwo + "}",
+       "must be an absolute path"},
+  };
+  for (const auto& [json, what] : all)
+    EXPECT_NE(trouble(json).find(what), std::string::npos) << json << "\n" << trouble(json);
+  std::string deep = d + kTwo + R"(,"settings":)";
+  deep += std::string(100'000, '[') + std::string(100'000, ']') + "}";
+  EXPECT_NE(trouble(deep).find("nested deeper"), std::string::npos);
+}
+
+TEST(JsonTest, AnyBytesBecomeUtf8) {
+  EXPECT_EQ(printable("a\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80"), "a\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80");
+  EXPECT_EQ(printable("\xff\xc0\x80x\xed\xa0\x80\xe2\x82"), "???x?????");
+}
+
+}  // namespace
+}  // namespace heronvane::fleet::testing
--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -1,1 +1,166 @@
+// Processes that the agent starts, watches and signals.
+#include "process.hpp"
+
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+namespace heronvane::fleet::testing {
+namespace {
+
+class ProcessTest : public ::testing::Test {
+ protected:
+  ProcessTest() {
+    folder =
+        (std::filesystem::temp_directory_path() / ("heronvane-process-test-" + std::to_string(::getpid())))
+            .string();
+    std::filesystem::create_directories(folder);
+  }
+  ~ProcessTest() override { std::filesystem::remove_all(folder); }
+
+  Command shell(const std::string& script) const {
+    return {"/bin/sh", {"-c", script}, folder, folder + "/log", {"HIDDEN"}};
+  }
+  std::string log() const {
+    std::ifstream in(folder + "/log");
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
+  // Starts it and waits for its end.
+  Ending run(const std::string& script) {
+    pid_t pid = 0;
+    EXPECT_FALSE(start_detached(shell(script), pid));
+    return await(identify(pid).value_or(ProcessId{pid, 0, ""}));
+  }
+  Ending await(const ProcessId& id, int signal = 0) {
+    std::error_code bad;
+    std::optional<Ending> ending;
+    const auto process = Process::open(
+        io, id, [&](Ending e) { ending = e; }, bad);
+    EXPECT_FALSE(bad) << bad.message();
+    if (!process) return {};
+    if (signal != 0) {
+      EXPECT_FALSE(process->signal(signal));
+    }
+    io.restart();
+    io.run_for(std::chrono::seconds(30));
+    EXPECT_TRUE(ending);
+    return ending.value_or(Ending{});
+  }
+
+  boost::asio::io_context io;
+  std::string folder;
+};
+
+TEST_F(ProcessTest, ItsEndIsToldWithStatusOrSignal) {
+  EXPECT_EQ(run("exit 7").status, 7);
+  const auto killed = run("kill -9 $$");
+  EXPECT_TRUE(killed.known);
+  EXPECT_EQ(killed.signal, SIGKILL);
+}
+
+TEST_F(ProcessTest, ItStandsApartFromItsStarter) {
+  const int leak = ::open("/dev/null", O_RDONLY);  // not close-on-exec
+  ::setenv("HIDDEN", "x", 1);
+  ::setenv("SHOWN", "y", 1);
+  std::signal(SIGPIPE, SIG_IGN);
+  run("read line; echo \"got $?\"; ls /proc/$$/fd | tr '\\n' ' '; echo; pwd; cut -d' ' -f1,6 /proc/$$/stat;"
+      "echo \"$HIDDEN-$SHOWN\"; grep SigIgn /proc/$$/status");
+  std::signal(SIGPIPE, SIG_DFL);
+  ::close(leak);
+  std::ifstream in(folder + "/log");
+  std::string line;
+  std::getline(in, line);
+  EXPECT_EQ(line, "got 1");  // nothing to read
+  std::getline(in, line);
+  EXPECT_EQ(line, "0 1 2 ");
+  std::getline(in, line);
+  EXPECT_EQ(line, folder);
+  long pid = 0, session = 0;
+  in >> pid >> session;
+  EXPECT_EQ(pid, session);
+  std::getline(in, line);
+  std::getline(in, line);
+  EXPECT_EQ(line, "-y");
+  std::getline(in, line);
+  EXPECT_NE(line.find("0000000000000000"), std::string::npos) << line;
+}
+
+TEST_F(ProcessTest, WhatCannotBeRunLeavesNothing) {
+  pid_t pid = 0;
+  Command c = shell("");
+  c.program = folder + "/none";
+  EXPECT_EQ(start_detached(c, pid), std::errc::no_such_file_or_directory);
+  c = shell("");
+  c.folder = folder + "/none";
+  EXPECT_EQ(start_detached(c, pid), std::errc::no_such_file_or_directory);
+  EXPECT_EQ(pid, 0);
+  EXPECT_EQ(::waitpid(-1, nullptr, WNOHANG), -1);  // no child is left
+}
+
+// A process of whom only the pid is right is another's, and is not signalled.
+TEST_F(ProcessTest, APidAloneIsNobody) {
+  auto id = identify(::getppid());
+  ASSERT_TRUE(id);
+  std::error_code bad;
+  id->start_time += 1;
+  EXPECT_EQ(Process::open(
+                io, *id, [](Ending) {}, bad),
+            nullptr);
+  EXPECT_EQ(bad, std::errc::no_such_process);
+  id->start_time -= 1;
+  id->boot = "another";
+  EXPECT_EQ(Process::open(
+                io, *id, [](Ending) {}, bad),
+            nullptr);
+  EXPECT_FALSE(identify(0));
+  EXPECT_FALSE(identify(-1));
+}
+
+TEST_F(ProcessTest, TheEndOfAnotherOnesChildIsSeen) {
+  pid_t pid = 0;
+  // The shell leaves its child, which tells its pid.
+  ASSERT_FALSE(start_detached(shell("sleep 1000 & echo $!"), pid));
+  ::waitpid(pid, nullptr, 0);
+  const pid_t orphan = static_cast<pid_t>(std::stol(log()));
+  const auto id = identify(orphan);
+  ASSERT_TRUE(id);
+  EXPECT_FALSE(await(*id, SIGKILL).known);
+  EXPECT_FALSE(identify(orphan));
+}
+
+TEST_F(ProcessTest, SignalsReachNobodyOnceItHasEnded) {
+  pid_t pid = 0;
+  ASSERT_FALSE(start_detached(shell("exit 0"), pid));
+  std::error_code bad;
+  bool ended = false;
+  const auto process = Process::open(
+      io, identify(pid).value_or(ProcessId{pid, 0, ""}), [&](Ending) { ended = true; }, bad);
+  ASSERT_TRUE(process);
+  io.run_for(std::chrono::seconds(30));
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(process->signal(SIGKILL), std::errc::no_such_process);
+}
+
+TEST_F(ProcessTest, ProcessesAreFoundByTheirArguments) {
+  pid_t pid = 0;
+  Command c{"/bin/sh", {"-c", "sleep 1000; true", "--run", "0123456789abcdef"}, folder, folder + "/log", {}};
+  ASSERT_FALSE(start_detached(c, pid));
+  const auto found = find_by_option("--run");
+  const auto [from, to] = found.equal_range("0123456789abcdef");
+  ASSERT_EQ(std::distance(from, to), 1);
+  EXPECT_EQ(from->second, identify(pid));
+  EXPECT_EQ(found.count("0123456789abcde"), 0u);
+  ::kill(-pid, SIGKILL);
+  ::waitpid(pid, nullptr, 0);
+  EXPECT_EQ(find_by_option("--run").count("0123456789abcdef"), 0u);
+}
+
+}  // namespace
+}  // namespace heronvane::fleet::testing
