--- a/cli/demo.cpp
+++ b/cli/demo.cpp
@@ -6,12 +6,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <csignal>
+#include <cstdlib>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <map>
 #include <optional>
+#include <sstream>
+#include <system_error>
 
 #include "demo_agent.hpp"
 #include "demo_notices.hpp"
@@ -37,6 +40,20 @@
 constexpr std::size_t kMostHappened = 40;
 constexpr std::uint64_t kSeed = 20;
 
+// As short as it can be called from here: found in PATH, or below the current folder.
+std::string short_name(const std::string& program) {
+  namespace fs = std::filesystem;
+  std::error_code bad;
+  const char* const path = std::getenv("PATH");
+  std::istringstream folders(path == nullptr ? "" : path);
+  const auto name = fs::path(program).filename();
+  for (std::string folder; std::getline(folders, folder, ':');)
+    if (const auto file = fs::path(folder) / name; !folder.empty() && fs::exists(file, bad))
+      return fs::equivalent(file, program, bad) ? name.string() : program;
+  const auto below = fs::path(program).lexically_relative(fs::current_path(bad));
+  return below.empty() || *below.begin() == ".." ? program : below.string();
+}
+
 class Demonstration {
  public:
   explicit Demonstration(const Demo& options);
@@ -51,6 +68,7 @@
   void stop_agent();
   void watch_agent();
   void happened(const std::string& what);
+  void say(const std::string& text);
   void note_phases(const std::vector<Instance>& now);
   void show();
   DemoView view();
@@ -71,15 +89,16 @@
   std::vector<std::uint16_t> ports_;
   DemoWorld world_;
   AgentProcess agent_{folder_.path()};
+  const std::string tool_ = short_name(own_program());
   std::optional<FleetWatch> watch_;
   std::optional<Screen> screen_;
   FleetWatch::Seen last_;
   std::map<std::string, Instance> phases_;
   Stage stage_ = Stage::starting;
-  Clock::time_point stage_since_ = started_, end_since_{}, shown_{}, agent_again_{};
+  Clock::time_point running_since_{}, end_since_{}, shown_{}, agent_again_{};
   std::deque<DemoView::Happened> happened_;
   std::string failure_, headline_ = "starting";
-  bool all_drained_ = false, killed_ = false, hints_told_ = false;
+  bool all_drained_ = false, killed_ = false, hints_told_ = false, deaf_ = false;
   std::size_t leftovers_ = 0;
 };
 
@@ -154,6 +173,7 @@
 
 void Demonstration::step() {
   const auto now = Clock::now();
+  if (deaf_ && (stage_ == Stage::starting || stage_ == Stage::running)) begin_end("");
   switch (stage_) {
     case Stage::starting:
       if (!last_.refused.empty()) {
@@ -178,12 +198,13 @@
         happened("all relays are ready: clients begin");
         headline_ = "Ctrl-C ends it";
         stage_ = Stage::running;
+        running_since_ = now;
       }
       break;
     case Stage::running:
       watch_agent();
       world_.tick(standins::steady_time());
-      if (options_.seconds && now - started_ >= std::chrono::duration<double>(*options_.seconds))
+      if (options_.seconds && now - running_since_ >= std::chrono::duration<double>(*options_.seconds))
         begin_end("its time is over");
       break;
     case Stage::draining:
@@ -271,7 +292,16 @@
 void Demonstration::happened(const std::string& what) {
   happened_.push_front({elapsed_s(), what});
   if (happened_.size() > kMostHappened) happened_.pop_back();
-  if (!drawn_) put(1, clock_time(elapsed_s()) + "  " + safe(what) + "\n");
+  if (!drawn_) say(clock_time(elapsed_s()) + "  " + safe(what) + "\n");
+}
+
+// Where nobody reads any more, it ends.
+void Demonstration::say(const std::string& text) {
+  try {
+    if (!deaf_) put(1, text);
+  } catch (const std::system_error&) {
+    deaf_ = true;
+  }
 }
 
 DemoView Demonstration::view() {
@@ -304,12 +334,18 @@
 void Demonstration::show() {
   shown_ = Clock::now();
   const auto v = view();
-  if (drawn_) return screen_->draw(render_demo(v, style_of(1), terminal_size(1).rows));
-  if (stage_ != Stage::starting) put(1, plain_demo(v));
+  if (drawn_) {
+    try {
+      screen_->draw(render_demo(v, style_of(1), terminal_size(1).rows));
+    } catch (const std::system_error&) {
+      deaf_ = true;
+    }
+    return;
+  }
+  if (stage_ != Stage::starting) say(plain_demo(v));
   if (stage_ == Stage::running && !hints_told_) {
     hints_told_ = true;
-    for (const auto& t : v.tries)
-      put(1, "  try: " + t.command + (t.why.empty() ? "" : "   # " + t.why) + "\n");
+    for (const auto& t : v.tries) say("  try: " + t.command + (t.why.empty() ? "" : "   # " + t.why) + "\n");
   }
 }
 
@@ -330,7 +366,7 @@
     return kRefused;
   }
   if (n.handed == 0) {
-    put(1, "demo: ended before clients began\n");
+    say("demo: ended before clients began\n");
     return kDone;
   }
   const std::uint64_t unanswered = n.silence + n.out, refused = n.refused + n.failed;
@@ -359,12 +395,19 @@
   if (leftovers_ > 0)
     text +=
         "  ended by force: " + count(static_cast<std::int64_t>(leftovers_), "process", "processes") + "\n";
-  put(1, text);
+  say(text);
   return adds_up && !lost && l.twice == 0 && problem.empty() ? kDone : kPartial;
 }
 
 }  // namespace
 
-int demo(const Demo& options) { return Demonstration(options).run(); }
+int demo(const Demo& options) {
+  try {
+    return Demonstration(options).run();
+  } catch (const std::exception& e) {
+    put(2, std::string("heronvanectl: demo: ") + e.what() + "\n");
+    return kRefused;
+  }
+}
 
 }  // namespace heronvane::cli
--- a/cli/demo_agent.cpp
+++ b/cli/demo_agent.cpp
@@ -77,12 +77,19 @@
 }
 
 AgentProcess::~AgentProcess() {
-  if (pid_ <= 0) return;
-  ::kill(pid_, SIGKILL);
-  ::waitpid(pid_, nullptr, 0);
+  std::string how;
+  signal(SIGTERM);
+  for (int turn = 0; turn < 400 && !ended(how); turn++)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  if (!ended(how)) {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  end_leftovers(folder_);
 }
 
 void AgentProcess::start() {
+  if (::symlink("a/agent.sock", socket().c_str()) != 0 && errno != EEXIST) fail(socket());
   const std::string program = beside("heronvane-agent"), folder = data(), out = log();
   const char* const words[] = {program.c_str(), "--data",        folder.c_str(),
                                "--foreground",  "--stop-relays", nullptr};
--- a/cli/demo_agent.hpp
+++ b/cli/demo_agent.hpp
@@ -44,13 +44,13 @@
 class AgentProcess {
  public:
   explicit AgentProcess(std::string folder) : folder_(std::move(folder)) {}
-  ~AgentProcess();
+  ~AgentProcess();  // ends it, and its relays, within some seconds
   AgentProcess(const AgentProcess&) = delete;
   AgentProcess& operator=(const AgentProcess&) = delete;
 
   void start();  // std::system_error
   std::string data() const { return folder_ + "/a"; }
-  std::string socket() const { return data() + "/agent.sock"; }
+  std::string socket() const { return folder_ + "/agent.sock"; }  // a short way to the one in its data
   std::string log() const { return folder_ + "/agent.out"; }
   pid_t pid() const { return pid_; }  // 0: it does not run
   void signal(int number) const;
--- a/cli/demo_view.cpp
+++ b/cli/demo_view.cpp
@@ -55,10 +55,10 @@
 std::string endpoints(const DemoView& v, const Style& style, bool all) {
   Table t({{"ENDPOINT"},
            {"PARTNER", 2},
-           {"AS RELAYS SEE IT"},
+           {"RELAYS SEE"},
            {"SERVED/S", 0, true},
-           {"REFUSED/S", 1, true},
-           {"FAILED/S", 1, true},
+           {"REFUSED", 1, true},
+           {"FAILED", 1, true},
            {"ITS WAYS", 3}});
   for (const auto& e : v.endpoints)
     if (all || !e.leaving)
@@ -74,21 +74,21 @@
 
 std::string totals(const DemoView& v, const Style& style) {
   const auto& n = v.totals;
-  std::string text = "clients   handed in " + grouped(n.handed) + "   taken on " + grouped(n.taken) +
-                     "   refused " + grouped(n.refused) + "   no answer " + grouped(n.unanswered) + "\n";
-  text += "outside   delivered " + grouped(n.delivered) + "   by notice " + grouped(n.ended) + "   held " +
-          grouped(n.held) + "   " +
-          toned("twice " + grouped(n.twice), n.twice == 0 ? Tone::good : Tone::bad, style) + "   p50 " +
+  std::string text = "clients  handed in " + grouped(n.handed) + "  taken on " + grouped(n.taken) +
+                     "  refused " + grouped(n.refused) + "  no answer " + grouped(n.unanswered) + "\n";
+  text += "outside  delivered " + grouped(n.delivered) + "  by notice " + grouped(n.ended) + "  held " +
+          grouped(n.held) + "  " +
+          toned("twice " + grouped(n.twice), n.twice == 0 ? Tone::good : Tone::bad, style) + "  p50 " +
           span(n.p50_us) + " p99 " + span(n.p99_us) + "\n";
   return text;
 }
 
 std::string tries(const DemoView& v, const Style& style) {
-  std::string text = toned("TRY IN ANOTHER TERMINAL", Tone::bold, style) + "\n";
+  std::string text;
   for (const auto& t : v.tries) {
-    std::string line = "  " + t.command;
+    const std::string line = (text.empty() ? "try  " : "     ") + t.command;
     const std::string why = t.why.empty() ? "" : "   # " + t.why;
-    // A command that does not fit the width is never cut: the terminal folds it.
+    // A command is never cut, so that it can be copied: the terminal folds one that is too long.
     const bool fits = style.width == 0 || columns(line) + columns(why) <= style.width;
     text += line + (fits ? toned(why, Tone::dim, style) : "") + "\n";
   }
--- a/cli/demo_world.cpp
+++ b/cli/demo_world.cpp
@@ -87,10 +87,10 @@
   add(0, sound, "sound");
   add(0, with([](Habits& h) { h.median = 25'000, h.spread = 0.6; }), "slow");
   add(1, with([](Habits& h) { h.limit_per_s = 20; }), "takes 20/s");
-  add(2, with([](Habits& h) { h.silent = {20 * kSecond, 4 * kSecond}; }), "silent at times");
+  add(2, with([](Habits& h) { h.silent = {20 * kSecond, 4 * kSecond}; }), "goes silent");
   add(2, sound, "sound");
   add(3, with([](Habits& h) { h.reset_share = 0.04; }), "resets 4%");
-  add(4, sound, "replaced at times", true);
+  add(4, sound, "replaced", true);
   add(4, with([](Habits& h) { h.error_share = 0.01; }), "errors 1%");
   add(5, with([](Habits& h) { h.wait = {15 * kSecond, 1 * kSecond}; }), "tells waits");
   add(5, sound, "sound");
--- a/fleet/fleet_file.cpp
+++ b/fleet/fleet_file.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "config.hpp"
+#include "default_settings.hpp"
 #include "fields.hpp"
 #include "framing.hpp"
 #include "json.hpp"
@@ -20,17 +21,6 @@
 
 constexpr std::size_t kMostInstances = 1'000;
 
-// The two classes that relays know where the operator names none.
-constexpr const char* kSettings =
-    R"({"Classes":[{"Name":"load-status","Points":1.0,"LateWorth":0.0,"Target":1000000,"Deadline":6000000,)"
-    R"("Idempotency":"read_like","Window":5000000},{"Name":"pay-and-order","Points":3.0,"LateWorth":0.3,)"
-    R"("Target":2000000,"Deadline":24000000,"Idempotency":"non_idempotent","Window":5000000}],)"
-    R"("FamilyInfo":{"Workers":8,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
-    R"("HostTypes":["big","small"],"Discovery":"subscribe","GroupSize":1,"Tick":5000,)"
-    R"("Limits":{"OpenCap":400,"MaxAttempts":8,"Cancelling":true,"ConnIdle":5000000,)"
-    R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},)"
-    R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000}})";
-
 std::string name_of(const Value& member) { return {member.GetString(), member.GetStringLength()}; }
 
 // A slip of the pen must not pass for a default.
@@ -108,7 +98,7 @@
   const Value* settings = wire::find(v, "settings");
   if (settings != nullptr) wire::as_object(*settings, path + ".settings");
   const bool own = settings != nullptr && settings->MemberCount() > 0;
-  f.relay_settings_ = own ? to_text(*settings) : kSettings;
+  f.relay_settings_ = own ? to_text(*settings) : kDefaultSettings;
   if (own) flatten(*settings, "settings", spec.common);
 
   rapidjson::Document limits(rapidjson::kObjectType);
--- /dev/null
+++ b/tests/demo/ledger_test.cpp
@@ -0,0 +1,82 @@
+#include <gtest/gtest.h>
+
+#include "cli/demo_ledger.hpp"
+
+namespace heronvane::cli {
+namespace {
+
+using standins::Heard;
+
+TEST(LedgerTest, TakenAndDeliveredInEitherOrder) {
+  Ledger l;
+  l.sent(0, "a", true), l.heard("a", Heard::taken);
+  EXPECT_EQ(l.totals().open, 1u);
+  l.ran("a"), l.delivered(5'000, "a");
+  l.sent(0, "b", true), l.ran("b"), l.delivered(3'000, "b"), l.heard("b", Heard::taken);
+  EXPECT_EQ(l.totals().taken, 2u);
+  EXPECT_EQ(l.totals().delivered, 2u);
+  EXPECT_EQ(l.totals().open, 0u);
+  EXPECT_EQ(l.latencies().quantile(5'000, 1), 5'000);
+}
+
+TEST(LedgerTest, TwiceIsWhatMustNotBe) {
+  Ledger l;
+  l.sent(0, "unsafe", true), l.heard("unsafe", Heard::taken), l.ran("unsafe");
+  EXPECT_EQ(l.totals().twice, 0u);
+  l.ran("unsafe"), l.ran("unsafe");
+  EXPECT_EQ(l.totals().twice, 1u);  // of messages
+  l.sent(0, "safe", false), l.heard("safe", Heard::taken), l.ran("safe"), l.ran("safe");
+  EXPECT_EQ(l.totals().twice, 1u);
+  EXPECT_EQ(l.totals().repeated, 1u);
+}
+
+TEST(LedgerTest, WhatWasRefusedMustNotRun) {
+  Ledger l;
+  l.sent(0, "a", false), l.heard("a", Heard::refused), l.ran("a");
+  l.sent(0, "b", false), l.ran("b"), l.heard("b", Heard::refused);
+  EXPECT_EQ(l.totals().twice, 2u);
+}
+
+TEST(LedgerTest, WithoutAnAnswerItMayRunOnce) {
+  Ledger l;
+  l.sent(0, "a", true), l.heard("a", Heard::silence), l.ran("a"), l.delivered(1, "a");
+  l.sent(0, "b", true), l.ran("b"), l.delivered(1, "b"), l.heard("b", Heard::silence);
+  EXPECT_EQ(l.totals().twice, 0u);
+  EXPECT_EQ(l.totals().delivered_unanswered, 2u);
+  EXPECT_EQ(l.totals().taken, 0u);
+  EXPECT_EQ(l.totals().delivered, 0u);
+}
+
+TEST(LedgerTest, NoticesEndWhatIsOpen) {
+  Ledger l;
+  for (const char* id : {"a", "b", "c"}) l.sent(0, id, true), l.heard(id, Heard::taken);
+  l.delivered(1, "a");
+  l.settle([](const std::string& id) { return id != "c"; });
+  EXPECT_EQ(l.totals().delivered, 1u);
+  EXPECT_EQ(l.totals().ended, 1u);
+  EXPECT_EQ(l.totals().open, 1u);
+  // One that is delivered after all counts as such.
+  l.delivered(2, "b");
+  EXPECT_EQ(l.totals().delivered, 2u);
+  EXPECT_EQ(l.totals().ended, 0u);
+  EXPECT_EQ(l.totals().open, 1u);
+}
+
+TEST(LedgerTest, ForgetsOnlyWhatIsSettled) {
+  Ledger l;
+  l.sent(0, "done", true), l.heard("done", Heard::taken), l.delivered(1, "done");
+  l.sent(0, "open", true), l.heard("open", Heard::taken);
+  l.sent(0, "out", true);
+  l.sent(0, "refused", true), l.heard("refused", Heard::refused);
+  l.sent(10, "late", true), l.heard("late", Heard::taken), l.delivered(11, "late");
+  l.forget(10);
+  EXPECT_EQ(l.kept(), 3u);  // open, out, late
+  l.heard("out", Heard::taken);
+  EXPECT_EQ(l.totals().open, 2u);
+  // What was forgotten changes nothing more.
+  l.ran("done"), l.delivered(20, "done");
+  EXPECT_EQ(l.totals().delivered, 2u);
+}
+
+}  // namespace
+}  // namespace heronvane::cli
