--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -111,8 +111,7 @@
           }(),
           seed(), options_.tuning),
       timer_(io),
-      grace_(io),
-      platform_(io, options_.data) {}
+      grace_(io) {}
 
 Agent::~Agent() { *alive_ = false; }
 
@@ -161,21 +160,6 @@
     }
   }
   pumping_ = false;
-  follow_platform();
-}
-
-// Once a generation stands in the database, its platform is kept.
-void Agent::follow_platform() {
-  const Generation generation = decider_.generation();
-  if (stopping_ || generation == platform_generation_) return;
-  try {
-    const auto fleet = fleet_of(generation);
-    if (!fleet) return;
-    platform_generation_ = generation;
-    platform_.use(fleet->platform());
-  } catch (const std::exception& e) {
-    heronvane::log(std::string("agent: platform: ") + e.what());
-  }
 }
 
 void Agent::perform(const action::Record& a) {
@@ -534,7 +518,6 @@
   v.version = HERONVANE_VERSION;
   v.pid = ::getpid();
   v.started = started_;
-  v.platform = platform_.view();
   return v;
 }
 
--- a/fleet/agent.hpp
+++ b/fleet/agent.hpp
@@ -20,7 +20,6 @@
 #include "decider.hpp"
 #include "fleet_file.hpp"
 #include "instance_folder.hpp"
-#include "local_platform.hpp"
 #include "process.hpp"
 #include "streams.hpp"
 
@@ -107,7 +106,6 @@
   std::string spawn(Instance& i, const action::Spawn& a);
   std::string find_program(const std::string& program) const;
   std::shared_ptr<const Fleet> fleet_of(Generation generation);
-  void follow_platform();
   void point() const {
     if (options_.point) options_.point();
   }
@@ -128,8 +126,6 @@
   RequestId last_request_ = 0;
   std::map<RequestId, std::function<void(Verdict)>> requests_;
   std::map<OperationId, std::vector<std::weak_ptr<LineStream>>> followers_;
-  LocalPlatform platform_;
-  Generation platform_generation_ = 0;  // whose platform is kept
   std::map<Generation, std::shared_ptr<const Fleet>> fleets_;  // a few, as last used
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
