--- a/fleet/database.cpp
+++ b/fleet/database.cpp
@@ -15,8 +15,8 @@
 
 constexpr const char* kTables = R"(
 CREATE TABLE state(one INTEGER PRIMARY KEY CHECK(one = 1), generation INTEGER NOT NULL,
-  last_operation INTEGER NOT NULL);
-INSERT INTO state VALUES(1, 0, 0);
+  last_operation INTEGER NOT NULL, platform_index INTEGER NOT NULL);
+INSERT INTO state VALUES(1, 0, 0, 0);
 CREATE TABLE fleets(generation INTEGER PRIMARY KEY, applied INTEGER NOT NULL, text TEXT NOT NULL);
 CREATE TABLE instances(name TEXT PRIMARY KEY, listen TEXT NOT NULL, desired INTEGER NOT NULL,
   changed INTEGER NOT NULL, wanted INTEGER NOT NULL, config INTEGER NOT NULL, digest TEXT NOT NULL,
@@ -368,6 +368,20 @@
   return s.text();
 }
 
+std::int64_t Database::platform_index() {
+  Statement s(db_.get(), "SELECT platform_index FROM state");
+  return s.next() ? s.number() : 0;
+}
+
+bool Database::keep_platform_index(std::int64_t index) {
+  try {
+    Statement(db_.get(), "UPDATE state SET platform_index=?").bind(index).next();
+    return true;
+  } catch (const DatabaseError&) {
+    return false;
+  }
+}
+
 std::vector<HistoryLine> Database::history(int limit) {
   std::vector<HistoryLine> all;
   Statement s(db_.get(), "SELECT at, about, text FROM history ORDER BY number DESC LIMIT ?");
--- a/fleet/database.hpp
+++ b/fleet/database.hpp
@@ -59,6 +59,9 @@
   std::map<std::string, ProcessId> processes();
   // The fleet that was in force at that generation, as applied; nothing where it is none or no longer kept.
   std::optional<std::string> fleet_at(Generation generation);
+  // The highest index that the platform told; 0: none yet.
+  std::int64_t platform_index();
+  bool keep_platform_index(std::int64_t index);  // false: it does not last
   // Newest first.
   std::vector<HistoryLine> history(int limit);
 
--- a/fleet/fleet_file.cpp
+++ b/fleet/fleet_file.cpp
@@ -6,10 +6,10 @@
 
 #include "config.hpp"
 #include "fields.hpp"
-#include "framing.hpp"
 #include "json.hpp"
 #include "members.hpp"
 #include "operator_settings.hpp"
+#include "partners.hpp"
 
 namespace heronvane::fleet {
 
@@ -140,6 +140,8 @@
     PlatformPart p;
     p.listen = address(wire::need(*platform, "listen", "fleet.platform"), "fleet.platform.listen");
     const Value* partners = wire::find(*platform, "partners");
+    if (!read_address(p.listen, "fleet.platform.listen").address().is_loopback())
+      throw std::runtime_error("fleet.platform.listen: must be a loopback address");
     p.partners_file = wire::get(*platform, "partners_file", "fleet.platform", wire::as_text, "");
     if (!p.partners_file.empty() && p.partners_file.front() != '/')
       throw std::runtime_error("fleet.platform.partners_file: must be an absolute path");
@@ -147,6 +149,8 @@
       throw std::runtime_error("fleet.platform: must hold either partners or partners_file");
     if (partners != nullptr)
       p.partners = "{\"endpoints\":" + to_text(wire::as_array(*partners, "fleet.platform.partners")) + "}";
+    const std::string trouble = p.partners.empty() ? "" : read_partners(p.partners).trouble();
+    if (!trouble.empty()) throw std::runtime_error("fleet.platform.partners: " + trouble);
     flatten(*platform, "platform", spec.loose);
     f.platform_ = std::move(p);
   }
