--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -103,6 +103,7 @@
       database_(options_.data + "/agent.db", options_.database),
       started_(wall()),
       started_steady_(std::chrono::steady_clock::now()),
+      platform_(io, database_, options_.data + "/finals.db"),
       decider_(
           [this] {
             Restored r = database_.restore([](const std::string& text) { return Fleet::read(text).spec(); });
@@ -160,6 +161,18 @@
     }
   }
   pumping_ = false;
+  apply_platform();
+}
+
+void Agent::apply_platform() {
+  const std::string& text = decider_.fleet().text;
+  if (text == platform_of_) return;
+  platform_of_ = text;
+  try {
+    platform_.set(text.empty() ? std::nullopt : Fleet::read(text).platform());
+  } catch (const std::exception& e) {
+    heronvane::log(std::string("platform: ") + e.what());
+  }
 }
 
 void Agent::perform(const action::Record& a) {
@@ -518,6 +531,7 @@
   v.version = HERONVANE_VERSION;
   v.pid = ::getpid();
   v.started = started_;
+  v.platform = platform_.view();
   return v;
 }
 
--- a/fleet/agent.hpp
+++ b/fleet/agent.hpp
@@ -20,6 +20,7 @@
 #include "decider.hpp"
 #include "fleet_file.hpp"
 #include "instance_folder.hpp"
+#include "platform_host.hpp"
 #include "process.hpp"
 #include "streams.hpp"
 
@@ -106,6 +107,7 @@
   std::string spawn(Instance& i, const action::Spawn& a);
   std::string find_program(const std::string& program) const;
   std::shared_ptr<const Fleet> fleet_of(Generation generation);
+  void apply_platform();
   void point() const {
     if (options_.point) options_.point();
   }
@@ -116,6 +118,8 @@
   Database database_;
   Time started_;
   std::chrono::steady_clock::time_point started_steady_;
+  PlatformHost platform_;
+  std::string platform_of_;         // the fleet whose platform stands, as its text
   std::vector<InstanceRow> found_;  // rows that stood when the agent began, until start()
   Decider decider_;
   std::map<std::string, std::unique_ptr<Instance>> instances_;
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -226,8 +226,7 @@
   start_agent();
   wait_for([&] { return all_in("ready", 2); }, "all are ready");
   const std::string big =
-      fleet(2, R"(,"settings":{},"platform":{"listen":"127.0.0.1:19999","partners":[{"name":")" +
-                   std::string(400'000, 'x') + R"("}]})");
+      fleet(2, R"(,"settings":{"Classes":[],"Note":")" + std::string(400'000, 'x') + R"("})");
   const auto answer = post(apply(big));
   EXPECT_EQ(answer.status, 507u) << answer.body;
   EXPECT_NE(answer.body.find("\"storage\""), std::string::npos);
--- a/tests/fleet/fleet_file_test.cpp
+++ b/tests/fleet/fleet_file_test.cpp
@@ -50,8 +50,9 @@
 // A partner more changes the platform alone: no relay is restarted for it.
 TEST(FleetFileTest, PartnersAreNoPartOfConfigurations) {
   const auto one = Fleet::read(R"({"platform":{"listen":"127.0.0.1:8500","partners":[]},)" + kTwo + "}");
-  const auto two =
-      Fleet::read(R"({"platform":{"listen":"127.0.0.1:8500","partners":[{"name":"s"}]},)" + kTwo + "}");
+  const auto two = Fleet::read(
+      R"({"platform":{"listen":"127.0.0.1:8500","partners":[{"name":"s","address":"127.0.0.1:5","group":7}]},)" +
+      kTwo + "}");
   EXPECT_EQ(one.spec().common, two.spec().common);
   EXPECT_NE(one.spec().loose, two.spec().loose);
 }
@@ -82,6 +83,9 @@
       {d + R"("platform":{"listen":"127.0.0.1:8500"},)" + kTwo + "}", "either partners or partners_file"},
       {d + R"("platform":{"listen":"127.0.0.1:8500","partners_file":"x"},)" + kTwo + "}",
        "must be an absolute path"},
+      {R"({"platform":{"listen":"10.0.0.1:8500","partners":[]},)" + kTwo + "}", "must be a loopback address"},
+      {R"({"platform":{"listen":"127.0.0.1:8500","partners":[{"name":"s"}]},)" + kTwo + "}",
+       "fleet.platform.partners: "},
   };
   for (const auto& [json, what] : all)
     EXPECT_NE(trouble(json).find(what), std::string::npos) << json << "\n" << trouble(json);
