--- a/fleet/platform_server.cpp
+++ b/fleet/platform_server.cpp
@@ -29,9 +29,10 @@
 
 constexpr auto kAcceptPause = milliseconds(100);
 constexpr auto kLinger = milliseconds(1000);
-constexpr std::size_t kMostLingered = 4 << 20;  // bytes read and dropped behind an answer
-constexpr std::size_t kMostNotices = 20'000;    // that wait for one transaction
-constexpr std::size_t kNoLength = 1 << 20;      // what a body without a length counts for
+constexpr std::size_t kMostLingered = 4 << 20;   // bytes read and dropped behind an answer
+constexpr std::size_t kMostNotices = 20'000;     // that wait for one transaction
+constexpr std::size_t kMostForRelays = 4 << 20;  // bytes of a list
+constexpr std::size_t kNoLength = 1 << 20;       // what a body without a length counts for
 
 // Guards against children of the process that would hold the port and the connections after its end.
 void keep_from_children(int fd) { ::fcntl(fd, F_SETFD, FD_CLOEXEC); }
@@ -157,6 +158,10 @@
     catalog_.apply(std::move(update));
     whole_.reset();
     lines_.clear();
+    if (whole()->size() > kMostForRelays)
+      callbacks_.log("platform: the list holds " + std::to_string(whole()->size()) +
+                     " bytes and relays read no more than " + std::to_string(kMostForRelays) +
+                     ", so they go by what they know; split the list between platforms");
     each_watcher([this](const SessionPtr& s) { tell(s); });
     return true;
   }
--- a/tests/fleet/server_test.cpp
+++ b/tests/fleet/server_test.cpp
@@ -253,6 +253,19 @@
   EXPECT_EQ(own.server->status().connections, 0u);
 }
 
+// Relays give up a list that long, and would be told of no change any more with nobody knowing.
+TEST_F(ServerTest, AListTooLongForRelaysIsLogged) {
+  own.start();
+  std::vector<fleet::Endpoint> list;
+  for (int i = 0; i < 45'000; i++) list.push_back(one("s-" + std::to_string(i)));
+  own.server->publish(list);
+  EXPECT_NE(own.log.find("relays read no more"), std::string::npos);
+  own.log.clear();
+  list.resize(20'000);
+  own.server->publish(list);
+  EXPECT_EQ(own.log.find("relays read no more"), std::string::npos);
+}
+
 // A watch outlasts all limits on requests.
 TEST_F(ServerTest, AWatchIsNotEndedByRequestTimes) {
   own.options.request_time = own.options.idle_time = own.options.write_time = milliseconds(500);
