--- a/cli/demo_view.cpp
+++ b/cli/demo_view.cpp
@@ -139,7 +139,11 @@
                      toned(v.headline, Tone::dim, style) + "\n" + gap;
   text += relays(v, style) + gap + endpoints(v, style, roomy) + gap + totals(v, style) + gap;
   const std::string bottom = gap + tries(v, style);
-  const std::size_t used = rows_of(text, style.width) + rows_of(bottom, style.width);
+  const std::size_t folded = rows_of(text + bottom, style.width);
+  const auto whole = static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n') +
+                                              std::count(bottom.begin(), bottom.end(), '\n'));
+  // Where lines are folded the last one ends with a line feed: it needs a row to go to.
+  const std::size_t used = folded + (folded > whole ? 1 : 0);
   const std::size_t left = rows > used ? std::min<std::size_t>(rows - used, 12) : 0;
   for (std::size_t i = 0; i < left; i++) {
     if (i < v.happened.size()) {
