--- a/tests/demo/demo_test.sh
+++ b/tests/demo/demo_test.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# Usage: demo_test.sh HERONVANECTL seconds|interrupt|kill: the demonstration runs, ends in that way, leaves nothing
-# behind, and its summary adds up. It waits for what it sees, never for a time.
+# Usage: demo_test.sh HERONVANECTL seconds|interrupt|kill: the demonstration runs, ends in that way, leaves
+# nothing behind, and its summary adds up. It waits for what it sees, never for a time.
 set -euo pipefail
 tool=$1 way=$2
 folder=$(mktemp -d)
@@ -10,7 +10,6 @@
   if [[ -n $demo ]]; then kill -KILL "$demo" 2>/dev/null || true; fi
   rm -rf "$folder"
 }
-trap clean_up EXIT
 out=$folder.out
 trap 'clean_up; rm -f "$out"' EXIT
 fail() {
