--- /dev/null
+++ b/tests/cli/overlap_test.cpp
@@ -0,0 +1,60 @@
+#include "cli/overlap.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronvane::cli {
+namespace {
+
+TEST(Overlap, GivesWholeLines) {
+  Overlap o(10);
+  EXPECT_EQ(o.add("one\ntw"), "one\n");
+  EXPECT_EQ(o.add("o\n"), "two\n");
+}
+
+TEST(Overlap, CatchesUpAfterABreak) {
+  Overlap o(10);
+  o.add("two\nthree\nfo");
+  EXPECT_EQ(o.known(), 2u);
+  EXPECT_EQ(o.catch_up("zero\none\ntwo\nthree\nfour\nfi"), "four\n");
+  EXPECT_EQ(o.known(), 3u);
+}
+
+TEST(Overlap, TheNextStreamIsSkippedAsFarAsItIsKnown) {
+  Overlap o(10);
+  o.add("one\ntwo\n");
+  o.catch_up("one\ntwo\n");
+  EXPECT_EQ(o.add("on"), "");
+  EXPECT_EQ(o.add("e\ntwo\nthree\n"), "three\n");
+  EXPECT_EQ(o.add("one\n"), "one\n");  // only once is it skipped
+}
+
+TEST(Overlap, LinesThatCameBetweenBothAreShown) {
+  Overlap o(10);
+  o.add("one\ntwo\n");
+  o.catch_up("one\ntwo\n");
+  EXPECT_EQ(o.add("two\nthree\n"), "three\n");
+  Overlap p(2);
+  p.add("one\ntwo\n");
+  p.catch_up("one\ntwo\n");
+  EXPECT_EQ(p.add("three\nfour\n"), "three\nfour\n");
+}
+
+TEST(Overlap, ShowsAllOfALogThatGoesOnElsewhere) {
+  Overlap o(2);
+  o.add("one\ntwo\nthree\n");
+  EXPECT_EQ(o.catch_up("seven\neight\n"), "seven\neight\n");
+}
+
+TEST(Overlap, LinesThatAreAlikeAreShownTwiceRatherThanNever) {
+  Overlap o(10);
+  o.add("a\na\n");
+  EXPECT_EQ(o.catch_up("a\na\na\nb\n"), "a\nb\n");
+}
+
+TEST(Overlap, ALineWithoutAnEndIsNotHeldForEver) {
+  Overlap o(10);
+  EXPECT_GT(o.add(std::string(70'000, 'x')).size(), 65'000u);
+}
+
+}  // namespace
+}  // namespace heronvane::cli
