Fleet: the test of a batch that finds no room has both requests in one batch

Without the second try for each request it passed: the two never met in one transaction. Their last bytes come in one turn of the loop now, and it fails without the try.

--- a/tests/fleet/server_test.cpp
+++ b/tests/fleet/server_test.cpp
@@ -206,7 +206,14 @@
   own.finals->limit_bytes(200 * 1024);
   std::string many;
   for (int i = 0; i < 12'000; i++) many += notice("m" + std::to_string(i)) + "\n";
-  const auto large = send(post(many)), small = send(post(notice("a")));
+  // Their last bytes come in one turn of the loop, so that they share a transaction.
+  const std::string first = post(many), second = post(notice("a"));
+  const auto large = send(first.substr(0, first.size() - 1));
+  const auto small = send(second.substr(0, second.size() - 1));
+  io.restart();
+  while (io.poll() > 0) continue;
+  large->write(first.substr(first.size() - 1));
+  small->write(second.substr(second.size() - 1));
   wait_for([&] { return large->status() > 0 && small->status() > 0; }, "answers");
   EXPECT_EQ(large->status(), 503u);
   EXPECT_EQ(small->status(), 204u);
