--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -235,6 +235,7 @@
   c.folder = i.folder.path();
   c.log = i.folder.log();
   c.hidden = hidden_variables();
+  c.descriptors = options_.relay_descriptors;
   // A Unix socket's path is bounded: where the whole one is too long, the one from its own folder serves.
   const std::string at = i.folder.state().size() < 90 ? i.folder.path() + "/" : "";
   c.arguments = {"--config",   at + "config.json",   "--state", at + "state",
--- a/fleet/agent.hpp
+++ b/fleet/agent.hpp
@@ -34,6 +34,7 @@
   std::uint64_t log_bytes = 10'000'000;  // of an instance's log before it is rotated
   std::chrono::milliseconds ask_gap{1'000};
   std::chrono::milliseconds ask_gap_busy{100};  // of instances that start, drain or stop
+  std::uint64_t relay_descriptors = 0;          // the relays' soft limit of open files; 0: the agent's own
   // Called at each step that lasts or acts, for tests that end the agent there.
   std::function<void()> point;
 };
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -1,5 +1,6 @@
 // heronvane-agent: keeps the relays of one machine. SIGTERM and SIGINT end it; the relays run on.
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
@@ -147,6 +148,16 @@
   int word_ = -1;
 };
 
+// Each instance takes a descriptor. Returns the soft limit as it was, which the relays get.
+std::uint64_t raise_descriptor_limit() {
+  rlimit files{};
+  if (::getrlimit(RLIMIT_NOFILE, &files) != 0) return 0;
+  const auto before = files.rlim_cur;
+  files.rlim_cur = files.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &files);
+  return before;
+}
+
 #ifdef HERONVANE_AGENT_KILL_POINTS
 // Ends the agent at the n-th step that lasts or acts, as a power cut would.
 std::function<void()> kill_point() {
@@ -169,13 +180,14 @@
   net::signal_set ends(io, SIGTERM, SIGINT), hangs(io, SIGHUP);
   AgentOptions options;
   options.data = arguments.data;
+  options.relay_descriptors = raise_descriptor_limit();
   options.own_program = std::filesystem::read_symlink("/proc/self/exe").string();
 #ifdef HERONVANE_AGENT_KILL_POINTS
   options.point = kill_point();
   if (const char* pages = std::getenv("HERONVANE_AGENT_MOST_PAGES"))
     options.database.most_pages = std::atoi(pages);
   if (std::getenv("HERONVANE_AGENT_HASTE") != nullptr) {
-    options.tuning.stalled_kill = 4'000'000;
+    options.tuning.stalled_kill = 6'000'000;
     options.tuning.term_grace = 500'000;
     options.tuning.backoff_first = 50'000;
   }
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <linux/close_range.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
@@ -54,7 +55,7 @@
 
 // Only what may be called between fork and exec.
 [[noreturn]] void run(const char* program, char* const* arguments, char* const* environment,
-                      const char* folder, const char* log, int report) {
+                      const char* folder, const char* log, rlim_t descriptors, int report) {
   const auto fail = [report] {
     const int why = errno;
     [[maybe_unused]] const auto n = ::write(report, &why, sizeof why);
@@ -66,6 +67,11 @@
   sigset_t none;
   ::sigemptyset(&none);
   ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  rlimit files{};
+  if (descriptors > 0 && ::getrlimit(RLIMIT_NOFILE, &files) == 0) {
+    files.rlim_cur = descriptors;
+    ::setrlimit(RLIMIT_NOFILE, &files);
+  }
   if (::setsid() < 0) fail();
   if (::chdir(folder) != 0) fail();
   const int in = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
@@ -144,7 +150,7 @@
   const pid_t child = ::fork();
   if (child == 0)
     run(command.program.c_str(), arguments.data(), environment.data(), command.folder.c_str(),
-        command.log.c_str(), to.get());
+        command.log.c_str(), command.descriptors, to.get());
   const auto forked = last_error();
   ::pthread_sigmask(SIG_SETMASK, &before, nullptr);
   if (child < 0) return forked;
--- a/fleet/process.hpp
+++ b/fleet/process.hpp
@@ -38,6 +38,7 @@
   std::string folder;                  // it runs there
   std::string log;                     // standard output and error are appended to it
   std::vector<std::string> hidden;     // variables of the environment that it does not get
+  std::uint64_t descriptors = 0;       // its soft limit of open files; 0: the caller's
 };
 
 // Starts it in a session of its own, standard input from /dev/null, without any other descriptor, with
--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -125,6 +126,7 @@
 
 TEST_F(ProcessTest, TheEndOfAnotherOnesChildIsSeen) {
   pid_t pid = 0;
+  ::prctl(PR_SET_CHILD_SUBREAPER, 0);
   // The shell leaves its child, which tells its pid.
   ASSERT_FALSE(start_detached(shell("sleep 1000 & echo $!"), pid));
   ::waitpid(pid, nullptr, 0);
