--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <sys/file.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -165,6 +166,7 @@
 }
 
 void Agent::apply_platform() {
+  if (!std::exchange(platform_due_, false)) return;
   const std::string& text = decider_.fleet().text;
   if (text == platform_of_) return;
   platform_of_ = text;
@@ -184,6 +186,7 @@
       processes.emplace(row.name, it->second->process->id());
   }
   const std::string why = database_.save(now(), a, processes);
+  platform_due_ = platform_due_ || a.fleet;
   point();
   if (why.empty())
     events_.push_back(event::Recorded{a.record});
@@ -250,6 +253,7 @@
   if (!process) {
     // Without a descriptor it could be neither watched nor signalled; as a child its pid is still its own.
     ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
     return "pidfd: " + bad.message();
   }
   stands(i, a.run, std::move(process));
--- a/fleet/agent.hpp
+++ b/fleet/agent.hpp
@@ -125,6 +125,7 @@
   Decider decider_;
   std::map<std::string, std::unique_ptr<Instance>> instances_;
   std::deque<Event> events_;
+  bool platform_due_ = true;  // the fleet may have become another
   bool pumping_ = false, stopping_ = false;
   std::function<void()> relays_gone_;
   boost::asio::steady_timer timer_, grace_;
--- a/fleet/api_server.cpp
+++ b/fleet/api_server.cpp
@@ -59,6 +59,7 @@
   std::optional<net::ip::tcp::acceptor> tls_acceptor;
   std::optional<ssl::context> tls;
   bool closed = false;
+  std::size_t tls_open = 0;
   std::map<Connection*, std::weak_ptr<Connection>> open;
 };
 
@@ -297,11 +298,12 @@
     if (self->closed || bad == net::error::operation_aborted) return;
     if (bad) return self->wait_for_room([self] { self->accept_tls(); });
     if (self->open.size() < self->limits.connections) {
-      const auto session =
-          std::make_shared<Session<TlsStream>>(self, self->io, self->api, self->limits,
-                                               TlsStream(beast::tcp_stream(std::move(socket)), *self->tls),
-                                               [impl = self.get()](Connection* c) { impl->open.erase(c); });
+      const auto session = std::make_shared<Session<TlsStream>>(
+          self, self->io, self->api, self->limits,
+          TlsStream(beast::tcp_stream(std::move(socket)), *self->tls),
+          [impl = self.get()](Connection* c) { impl->open.erase(c), impl->tls_open--; });
       self->open.emplace(session.get(), session);
+      self->tls_open++;
       session->start_tls();
     }
     self->accept_tls();
--- a/fleet/api_server.hpp
+++ b/fleet/api_server.hpp
@@ -14,7 +14,7 @@
 namespace heronvane::fleet {
 
 struct ApiLimits {
-  std::size_t connections = 64;  // of both kinds; past it 503 (TLS: closed)
+  std::size_t connections = 64;  // of both kinds, half of them of TLS; past it 503 (TLS: closed)
   std::size_t body_bytes = 1 << 20;
   std::size_t head_bytes = 16 << 10;
   std::chrono::milliseconds time{10'000};  // of a request, between requests, and for a reader to take a piece
--- a/tests/fleet/api_server_test.cpp
+++ b/tests/fleet/api_server_test.cpp
@@ -339,6 +339,19 @@
   EXPECT_EQ(ask_tls("stranger"), "");
   EXPECT_NE(ask_tls("ops", TLS1_2_VERSION), "");
 }
+// Strangers who connect and say nothing leave room for those of this machine.
+TEST_F(TlsTest, SilentStrangersDoNotTakeAllRoom) {
+  std::promise<void> listens;
+  net::post(io, [&] {
+    server->listen_local(path);
+    listens.set_value();
+  });
+  listens.get_future().wait();
+  net::io_context own;
+  std::vector<net::ip::tcp::socket> held;
+  for (int i = 0; i < 100; i++) held.emplace_back(own).connect(at);
+  EXPECT_EQ(ask(path, "GET", "/v1/agent").status, 200u);
+}
 TEST_F(TlsTest, OldVersionsAreRefused) { EXPECT_EQ(ask_tls("ops", TLS1_1_VERSION), ""); }
 TEST_F(TlsTest, PlainTextIsDropped) {
   net::io_context own;
