--- /dev/null
+++ b/fleet/agent_api.cpp
@@ -0,0 +1,125 @@
+// What the API asks of the agent.
+#include <unistd.h>
+
+#include "agent_instance.hpp"
+#include "json.hpp"
+
+namespace heronvane::fleet {
+
+namespace {
+
+constexpr std::size_t kFleetsKept = 4;
+
+}  // namespace
+
+AgentView Agent::about() const {
+  AgentView v;
+  char name[256] = "";
+  ::gethostname(name, sizeof name - 1);
+  v.name = name;
+  v.version = HERONVANE_VERSION;
+  v.pid = ::getpid();
+  v.started = started_;
+  v.platform = platform_.view();
+  return v;
+}
+
+std::optional<StatusView> Agent::status(const std::string& name) const {
+  const auto it = instances_.find(name);
+  if (it == instances_.end() || it->second->status.empty()) return {};
+  return StatusView{it->second->status, now() - it->second->status_at};
+}
+
+std::string Agent::log_file(const std::string& name) const {
+  return InstanceFolder(options_.data, name).log();
+}
+
+FleetSpec Agent::read_fleet(const std::string& json) const { return Fleet::read(json).spec(); }
+
+std::shared_ptr<const Fleet> Agent::fleet_of(Generation generation) {
+  const auto it = fleets_.find(generation);
+  if (it != fleets_.end()) return it->second;
+  const auto text = database_.fleet_at(generation);
+  if (!text) return nullptr;
+  while (fleets_.size() >= kFleetsKept) fleets_.erase(fleets_.begin());
+  return fleets_[generation] = std::make_shared<const Fleet>(Fleet::read(*text));
+}
+
+std::optional<FleetSpec> Agent::fleet_at(Generation generation) {
+  if (generation == 0 || generation > decider_.generation()) return {};
+  const auto fleet = fleet_of(generation);
+  if (!fleet) return {};
+  return fleet->spec();
+}
+
+void Agent::command(event::Command command, std::function<void(Verdict)> done) {
+  command.request = ++last_request_;
+  requests_.emplace(command.request, std::move(done));
+  happened(std::move(command));
+}
+
+void Agent::cancel(OperationId operation, std::function<void(Verdict)> done) {
+  const RequestId request = ++last_request_;
+  requests_.emplace(request, std::move(done));
+  happened(event::Cancel{request, operation});
+}
+
+void Agent::find_message(const std::string& id, std::function<void(MessageView)> done) {
+  struct Search {
+    MessageView view;
+    std::size_t open = 1;
+    std::function<void(MessageView)> done;
+    void ended() {
+      if (--open == 0) done(std::move(view));
+    }
+  };
+  const auto search = std::make_shared<Search>();
+  search->done = std::move(done);
+  for (const auto& v : decider_.instances()) {
+    const std::string name = v.row->name;
+    const auto it = instances_.find(name);
+    if (it == instances_.end() || !it->second->process) {
+      search->view.not_asked.push_back(name);
+      continue;
+    }
+    search->open++;
+    ask_admin(io_, {it->second->folder.state(), false, "/v1/messages/" + id, ""},
+              [search, name, alive = std::weak_ptr<bool>(alive_)](const AdminAnswer& a) {
+                if (alive.expired()) return;
+                bool answered = a.status == 404;
+                if (a.status == 200) {
+                  try {
+                    answered = parse_json(a.body).IsObject();
+                  } catch (const JsonError&) {
+                  }
+                  if (answered) search->view.found.emplace_back(name, a.body);
+                }
+                if (!answered) search->view.not_asked.push_back(name);
+                search->ended();
+              });
+  }
+  search->ended();
+}
+
+std::shared_ptr<ApiStream> Agent::follow_operation(OperationId operation) {
+  const auto stream = std::make_shared<LineStream>();
+  const Operation* const o = decider_.operation(operation);
+  if (o == nullptr) {
+    stream->push("{}", true);
+    return stream;
+  }
+  const bool last = o->state != OperationState::running;
+  stream->push(operation_json(*o), last);
+  if (!last) {
+    auto& all = followers_[operation];
+    std::erase_if(all, [](const auto& weak) { return weak.expired(); });
+    all.push_back(stream);
+  }
+  return stream;
+}
+
+std::shared_ptr<ApiStream> Agent::read_log(const std::string& name, std::size_t lines, bool follow) {
+  return std::make_shared<LogStream>(io_, log_file(name), lines, follow);
+}
+
+}  // namespace heronvane::fleet
