--- a/relay/store/ledger.cpp
+++ b/relay/store/ledger.cpp
@@ -27,6 +27,8 @@
   return note;
 }
 
+void Ledger::expect(std::uint64_t messages) { tracks_.reserve(std::min<std::uint64_t>(messages, 1 << 18)); }
+
 void Ledger::add_segment(SegmentNumber segment) {
   segments_.try_emplace(segment);
   residents_.try_emplace(segment);
@@ -98,6 +100,12 @@
       if (it == tracks_.end() || it->second.over) return;
       auto& t = it->second;
       if (n.kind == Kind::progress) dead_later(t);
+      // Beside the message itself it lives and moves with it.
+      if (t.base.segment == segment) {
+        t.base.bytes += place.bytes;
+        live(place);
+        return;
+      }
       if (!stands_in(t, segment)) residents.messages.push_back({n.number, false});
       const auto there =
           std::find_if(t.later.begin(), t.later.end(), [&](const Place& p) { return p.segment == segment; });
--- a/relay/store/ledger.hpp
+++ b/relay/store/ledger.hpp
@@ -46,6 +46,8 @@
     bool old = false;         // of format 1
   };
 
+  // So many messages may come: room for them is made at once, for some hundreds of thousands at most.
+  void expect(std::uint64_t messages);
   void add_segment(SegmentNumber segment);
   void grow(SegmentNumber segment, std::uint64_t bytes) { segments_.at(segment).bytes += bytes; }
   void damaged(SegmentNumber segment) { segments_.at(segment).damaged = true; }
--- a/relay/store/records.cpp
+++ b/relay/store/records.cpp
@@ -159,75 +159,78 @@
   void operator()(const Anchor& r) const { put(p, r); }
 };
 
-Record take(Kind kind, Unpacker& u) {
+// Into `out`, without a copy on the way.
+void take(Kind kind, Unpacker& u, Record& out) {
   switch (kind) {
     case Kind::segment: {
-      record::Segment r;
+      auto& r = out.emplace<record::Segment>();
       r.version = u.number<std::uint16_t>(), r.number = u.number<SegmentNumber>();
       r.next_message = u.number<MessageId>();
       r.anchor = take_anchor(u);
       r.others.resize(u.count(sizeof(SegmentNumber) + sizeof(Sequence)));
       for (auto& other : r.others) other.number = u.number<SegmentNumber>(), other.end = u.number<Sequence>();
-      return r;
+      return;
     }
     case Kind::taken: {
-      record::Taken r;
+      auto& r = out.emplace<record::Taken>();
       Message& m = r.held.message;
       r.number = u.number<MessageId>();
       m.id = u.text(), m.message_class = u.text(), m.tenant = u.text();
       m.destination = u.number<std::int64_t>(), m.deadline = u.number<Time>();
       m.repeat = u.flag(), m.body = u.text();
       take(u, r.held.attempts, r.held.ending, r.held.doubt);
-      return r;
+      return;
     }
     case Kind::progress: {
-      record::Progress r;
+      auto& r = out.emplace<record::Progress>();
       r.number = u.number<MessageId>();
       take(u, r.attempts, r.ending, r.doubt);
-      return r;
+      return;
     }
     case Kind::sent: {
-      record::Sent r;
+      auto& r = out.emplace<record::Sent>();
       r.number = u.number<MessageId>(), r.attempt = u.number<std::uint32_t>();
       r.at = u.number<Time>(), r.zone = u.number<std::int32_t>();
-      return r;
+      return;
     }
     case Kind::ended: {
-      record::Ended r;
+      auto& r = out.emplace<record::Ended>();
       r.number = u.number<MessageId>(), r.attempt = u.number<std::uint32_t>(), r.outcome = u.outcome();
-      return r;
+      return;
     }
     case Kind::given_up: {
-      record::GivenUp r;
+      auto& r = out.emplace<record::GivenUp>();
       r.number = u.number<MessageId>(), r.ending.deferred = u.flag(), r.ending.again = u.number<Time>();
-      return r;
+      return;
     }
     case Kind::over: {
-      record::Over r;
+      auto& r = out.emplace<record::Over>();
       r.number = u.number<MessageId>(), r.id = u.text(), r.remember_until = u.number<Time>();
-      return r;
+      return;
     }
     case Kind::fact: {
-      record::Fact r;
+      auto& r = out.emplace<record::Fact>();
       r.key = u.text(), r.value = u.text();
-      return r;
+      return;
     }
     case Kind::dropped:
-      return record::Dropped{u.number<SegmentNumber>()};
+      out = record::Dropped{u.number<SegmentNumber>()};
+      return;
     case Kind::anchor:
-      return take_anchor(u);
+      out = take_anchor(u);
+      return;
   }
   u.refuse();
-  return Anchor{};
 }
 
 }  // namespace
 
 std::optional<Record> decode(Kind kind, std::string_view payload) {
   Unpacker u(payload);
-  Record r = take(kind, u);
-  if (!u.whole()) return std::nullopt;
-  return r;
+  std::optional<Record> record(std::in_place);
+  take(kind, u, *record);
+  if (!u.whole()) record.reset();
+  return record;
 }
 
 std::string segment_name(SegmentNumber number, Salt salt) {
--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -45,29 +45,33 @@
   return s;
 }
 
+constexpr std::uint64_t kUsualMessage = 400;  // bytes that a message takes with its attempt: a guess
+
 [[noreturn]] void fail(std::error_code bad, const std::string& what) {
   throw std::system_error(bad, "store: " + what);
 }
 
-std::string read_whole(Disk& disk, const std::string& name) {
+// All of a file that held `bytes` when it was listed, in a buffer that serves for many: it grows as needed.
+// Valid until the buffer changes.
+std::string_view read_whole(Disk& disk, const std::string& name, std::uint64_t bytes, std::string& buffer) {
   FileId file = -1;
   if (const auto bad = disk.open(name, Disk::Access::read, file)) fail(bad, name);
-  std::string all;
-  constexpr std::size_t kPiece = 64 * 1024;
+  std::size_t size = 0;
   while (true) {
-    const std::size_t at = all.size();
-    all.resize(at + kPiece);
+    // One byte more than is expected shows the end.
+    const std::size_t piece = std::max<std::size_t>(bytes + 1 > size ? bytes + 1 - size : 0, 64 * 1024);
+    if (buffer.size() < size + piece) buffer.resize(size + piece);
     std::size_t got = 0;
-    const auto bad = disk.read(file, at, all.data() + at, kPiece, got);
-    all.resize(at + got);
+    const auto bad = disk.read(file, size, buffer.data() + size, piece, got);
+    size += got;
     if (bad) {
       disk.close(file);
       fail(bad, name);
     }
-    if (got < kPiece) break;
+    if (got < piece) break;
   }
   disk.close(file);
-  return all;
+  return std::string_view(buffer).substr(0, size);
 }
 
 // Fills a Contents; changes nothing in the folder.
@@ -82,7 +86,7 @@
   void find_old();
   void read_roster();
   void apply(Record&& record, Sequence sequence, std::size_t bytes, SegmentNumber segment);
-  void read_segment(SegmentNumber number, const std::string& bytes, Replay& replay);
+  void read_segment(SegmentNumber number, std::string_view bytes, Replay& replay);
   void read_segments();
   void settle_doubt(Sequence last_missing);
 
@@ -90,8 +94,10 @@
   LastingClock& clock_;
   const ReadClocks& clocks_;
   Contents found_;
-  std::map<SegmentNumber, std::string> read_;            // what was read already
-  std::unordered_map<MessageId, Sequence> whole_state_;  // of the last record that holds all of a message
+  std::string buffer_;
+  // Where records are missing: of the last record that holds all of a message.
+  bool track_ = false;
+  std::unordered_map<MessageId, Sequence> whole_state_;
 };
 
 void Reader::list_folder() {
@@ -127,7 +133,7 @@
 // with it in a folder that holds nothing else, so they stand for both.
 void Reader::find_old() {
   if (!found_.journal) return;
-  std::string bytes = read_whole(disk_, kOldName);
+  const auto bytes = read_whole(disk_, kOldName, 0, buffer_);
   const OldScan scan(bytes);
   if (scan.head() == OldScan::Head::unknown_version || scan.head() == OldScan::Head::foreign)
     throw StoreError(
@@ -140,7 +146,6 @@
   auto& file = found_.files[0];
   file.name = kOldName, file.bytes = bytes.size(), file.old = true;
   found_.roster.try_emplace(0);
-  read_[0] = std::move(bytes);
 }
 
 // Which segments belong to the store: as the newest readable first record tells, and what was dropped after
@@ -152,8 +157,7 @@
     const auto& [number, file] = *it;
     found_.roster.try_emplace(number);
     if (file.old) continue;
-    const auto& bytes = read_[number] = read_whole(disk_, file.name);
-    Scan scan(file.salt, bytes);
+    Scan scan(file.salt, read_whole(disk_, file.name, file.bytes, buffer_), true);
     bool first = true;
     std::optional<Anchor> anchor;
     while (const auto found = scan.next()) {
@@ -194,18 +198,18 @@
     void operator()(record::Taken& x) const {
       // Written once more after a failed sync, and the process ended before its end was.
       if (r.found_.ledger.is_over(x.number)) return;
-      r.whole_state_[x.number] = sequence;
+      if (r.track_) r.whole_state_[x.number] = sequence;
       r.found_.table.taken(x.number, std::move(x.held));
     }
     void operator()(record::Progress& x) const {
-      r.whole_state_[x.number] = sequence;
+      if (r.track_) r.whole_state_[x.number] = sequence;
       r.found_.table.progress(x);
     }
     void operator()(record::Sent& x) const { r.found_.table.sent(x); }
     void operator()(record::Ended& x) const { r.found_.table.ended(x); }
     void operator()(record::GivenUp& x) const { r.found_.table.given_up(x); }
     void operator()(record::Over& x) const {
-      r.whole_state_.erase(x.number);
+      if (r.track_) r.whole_state_.erase(x.number);
       if (const auto other = r.found_.table.over(x)) r.found_.ledger.forget_id(*other);
     }
     void operator()(record::Fact& x) const { r.found_.table.fact(x); }
@@ -215,7 +219,7 @@
   std::visit(Visit{*this, sequence}, r);
 }
 
-void Reader::read_segment(SegmentNumber number, const std::string& bytes, Replay& replay) {
+void Reader::read_segment(SegmentNumber number, std::string_view bytes, Replay& replay) {
   auto& file = found_.files.at(number);
   const auto damaged = [&](const DamagedStretch& d) {
     found_.ledger.damaged(number);
@@ -261,6 +265,13 @@
 }
 
 void Reader::read_segments() {
+  found_.table = {}, found_.ledger = {}, found_.damage.clear();
+  std::uint64_t all = 0;
+  for (auto& [number, file] : found_.files) {
+    all += file.bytes;
+    file.records = 0, file.first = file.last = 0, file.torn.reset();
+  }
+  found_.ledger.expect(all / kUsualMessage);
   Replay replay([this](Record&& r, Sequence sequence, std::size_t bytes, SegmentNumber segment) {
     apply(std::move(r), sequence, bytes, segment);
   });
@@ -275,8 +286,7 @@
     }
     found_.ledger.add_segment(number);
     if (file->second.old) found_.ledger.old(number);
-    const auto read = read_.extract(number);
-    const std::string bytes = read.empty() ? read_whole(disk_, file->second.name) : read.mapped();
+    const auto bytes = read_whole(disk_, file->second.name, file->second.bytes, buffer_);
     found_.ledger.grow(number, bytes.size());
     read_segment(number, bytes, replay);
     if (upto) found_.ledger.closed(number, *upto);
@@ -289,6 +299,7 @@
   for (const auto& [number, segment] : found_.ledger.segments())
     if (segment.end == 0) found_.ledger.closed(number, found_.next);
   found_.counts = replay.counts();
+  if (replay.last_missing() > 0 && !std::exchange(track_, true)) return read_segments();
   if (replay.last_missing() > 0) {
     // Numbers that stood in what is missing must not be given again.
     found_.table.reserve_numbers(found_.table.next_number() + replay.counts().missing);
@@ -358,13 +369,14 @@
 }
 
 void Store::sync_all(bool write_again) {
+  std::string buffer;
   // Written by an earlier life, and perhaps never synced.
   for (const auto& [number, name] : names_) {
     FileId file = -1;
     if (const auto bad = disk_.open(name, Disk::Access::write, file)) fail(bad, name);
     std::error_code bad;
     std::size_t done = 0;
-    if (write_again) bad = disk_.write(file, 0, read_whole(disk_, name), done);
+    if (write_again) bad = disk_.write(file, 0, read_whole(disk_, name, 0, buffer), done);
     if (!bad && (bad = disk_.sync(file))) mark_sync_failed();
     disk_.close(file);
     if (bad) fail(bad, name);
@@ -406,8 +418,8 @@
     }
     // Left of a segment that was dropped, by an end between that and its file's. One that was to be set aside
     // for damage is.
-    const std::string bytes = file.old ? std::string() : read_whole(disk_, file.name);
-    Scan scan(file.salt, bytes);
+    std::string buffer;
+    Scan scan(file.salt, file.old ? std::string_view() : read_whole(disk_, file.name, file.bytes, buffer));
     bool damage = false;
     while (const auto f = scan.next()) damage = damage || std::holds_alternative<DamagedStretch>(*f);
     const auto bad = damage ? disk_.rename(file.name, "damaged-" + file.name) : disk_.remove(file.name);
--- a/relay/store/replay.cpp
+++ b/relay/store/replay.cpp
@@ -68,7 +68,9 @@
   begun_ = true;
   between_ = damage_ = false;
   damage_records_ = 0;
-  pending_.push_back({std::move(*record), sequence, frame.bytes(), segment_});
+  Pending& pending = pending_.emplace_back();
+  pending.record = std::move(*record);
+  pending.sequence = sequence, pending.bytes = frame.bytes(), pending.segment = segment_;
   if (!frame.header.last) return;
   next_ = sequence + 1;
   count_pending();
--- a/relay/store/scan.cpp
+++ b/relay/store/scan.cpp
@@ -11,6 +11,7 @@
   const auto header = read_header(salt_, bytes_.substr(offset));
   if (!header || bytes_.size() - offset - kHeaderBytes < header->size + kSumBytes) return std::nullopt;
   const auto payload = bytes_.substr(offset + kHeaderBytes, header->size);
+  if (heads_only_ && header->kind == Kind::taken) return Frame{offset, *header, payload};
   std::uint32_t sum = 0;
   std::memcpy(&sum, payload.data() + payload.size(), sizeof sum);
   if (sum != sum_of(salt_, payload)) return std::nullopt;
--- a/relay/store/scan.hpp
+++ b/relay/store/scan.hpp
@@ -32,7 +32,9 @@
 // Format 2.
 class Scan {
  public:
-  Scan(Salt salt, std::string_view bytes) : salt_(salt), bytes_(bytes) {}
+  // `heads_only`: payloads of messages are not summed up, for one who looks for other records.
+  Scan(Salt salt, std::string_view bytes, bool heads_only = false)
+      : salt_(salt), bytes_(bytes), heads_only_(heads_only) {}
   // The next thing found; nothing at the end.
   std::optional<Found> next();
 
@@ -40,6 +42,7 @@
   std::optional<Frame> frame_at(std::size_t offset) const;
   Salt salt_;
   std::string_view bytes_;
+  bool heads_only_;
   std::size_t at_ = 0;
 };
 
--- a/relay/store/table.cpp
+++ b/relay/store/table.cpp
@@ -17,16 +17,21 @@
 }
 Held* Table::held_by(MessageId number) {
   reserve_numbers(number + 1);
-  const auto it = held_.find(number);
-  return it == held_.end() ? nullptr : &it->second;
+  if (finger_ && (*finger_)->first < number) ++*finger_;
+  if (!finger_ || *finger_ == held_.end() || (*finger_)->first != number) finger_ = held_.find(number);
+  if (*finger_ != held_.end()) return &(*finger_)->second;
+  finger_.reset();  // an end would not outlast a move
+  return nullptr;
 }
 
 void Table::reserve_numbers(MessageId next) { next_number_ = std::max(next_number_, next); }
 
-void Table::taken(MessageId number, Held held) {
+void Table::taken(MessageId number, Held&& held) {
   reserve_numbers(number + 1);
-  const auto [it, fresh] = held_.try_emplace(number);
-  if (!fresh) given_up_ -= it->second.ending.has_value();
+  // Numbers ascend, but for those that compaction wrote anew.
+  const std::size_t before = held_.size();
+  const auto it = held_.try_emplace(held_.end(), number);
+  if (held_.size() == before) given_up_ -= it->second.ending.has_value();
   it->second = std::move(held);
   given_up_ += it->second.ending.has_value();
 }
@@ -140,6 +145,7 @@
 
 void Table::forget(std::map<MessageId, Held>::iterator it) {
   given_up_ -= it->second.ending.has_value();
+  if (finger_ == it) finger_.reset();
   held_.erase(it);
 }
 
--- a/relay/store/table.hpp
+++ b/relay/store/table.hpp
@@ -32,7 +32,7 @@
   void reserve_numbers(MessageId next);
 
   // Records of messages that are not held change nothing; that is what is left of those that are over.
-  void taken(MessageId number, Held held);
+  void taken(MessageId number, Held&& held);
   void progress(const record::Progress& p);
   void sent(const record::Sent& s);
   void ended(const record::Ended& e);
@@ -50,6 +50,8 @@
   void forget(std::map<MessageId, Held>::iterator it);
 
   std::map<MessageId, Held> held_;
+  std::optional<std::map<MessageId, Held>::iterator>
+      finger_;  // found last: the next one often stands behind it
   std::size_t given_up_ = 0;
   struct Remembered {
     MessageId number = 0;
