A name that is no UTF-8 makes no relay's status unreadable

Names of endpoints (a list of a discovery outside) and of tenants may hold any bytes, and were written to the admin socket's answers as they came. The agent takes an answer that is no JSON for none: one such endpoint in the list showed every relay as stalled, and each was ended by SIGKILL 10 s later, over and over. The new test fails without this (the status is no valid JSON).

--- a/fleet/json.hpp
+++ b/fleet/json.hpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "core/utf8.hpp"
+
 namespace heronvane::fleet {
 
 using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
@@ -37,7 +39,6 @@
 }
 inline std::string text_of(const rapidjson::StringBuffer& b) { return {b.GetString(), b.GetSize()}; }
 
-// Any bytes as valid UTF-8: what is none becomes '?'.
-std::string printable(std::string_view bytes);
+using heronvane::printable;
 
 }  // namespace heronvane::fleet
--- a/relay/core/status.cpp
+++ b/relay/core/status.cpp
@@ -5,6 +5,8 @@
 
 #include <cmath>
 
+#include "core/utf8.hpp"
+
 namespace heronvane {
 namespace {
 
@@ -12,7 +14,11 @@
 using cedarplank::Listing;
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
-void text(Writer& w, const std::string& v) { w.String(v.data(), static_cast<rapidjson::SizeType>(v.size())); }
+// Names come from lists and clients, and may hold any bytes: an answer that is no JSON would count as none.
+void text(Writer& w, const std::string& v) {
+  const std::string sound = printable(v);
+  w.String(sound.data(), static_cast<rapidjson::SizeType>(sound.size()));
+}
 void field(Writer& w, const char* key, const std::string& v) { w.Key(key), text(w, v); }
 void field(Writer& w, const char* key, const char* v) { w.Key(key), w.String(v); }
 void field(Writer& w, const char* key, bool v) { w.Key(key), w.Bool(v); }
@@ -73,7 +79,7 @@
   field(w, "total", std::uint64_t{s.held}), field(w, "given_up", std::uint64_t{s.given_up});
   w.Key("by_class");
   w.StartObject();
-  for (const auto& [cls, n] : s.counts.by_class) field(w, cls.c_str(), std::uint64_t{n});
+  for (const auto& [cls, n] : s.counts.by_class) field(w, printable(cls).c_str(), std::uint64_t{n});
   w.EndObject();
   field(w, "oldest_ms", ms(s.counts.oldest));
   w.Key("by_age_ms");
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -136,6 +136,25 @@
   EXPECT_FALSE(status()["ready"].GetBool());
 }
 
+// Whoever asks takes an answer that is no JSON for none, and a relay without answers for one that hangs.
+TEST_F(AdminTest, NamesThatAreNoUtf8LeaveTheAnswerJson) {
+  const auto sound = [](const Response& answer) {
+    rapidjson::Document v;
+    v.Parse<rapidjson::kParseValidateEncodingFlag>(answer.body().data(), answer.body().size());
+    return !v.HasParseError();
+  };
+  members = member("s-\xff", endpoint.address());
+  endpoint.on_request(stay_silent);
+  start();
+  std::string bytes = request("m1", kSafe);
+  bytes.insert(bytes.find("X-Class"), "X-Tenant: \xc3\xc3\r\n");
+  EXPECT_EQ(ask(bytes), 202u);
+  const auto s = ask_admin("GET", "/v1/status"), m = ask_admin("GET", "/v1/messages/m1");
+  EXPECT_TRUE(sound(s)) << s.body();
+  EXPECT_NE(s.body().find("\"s-?\""), std::string::npos) << s.body();
+  EXPECT_TRUE(sound(m)) << m.body();
+}
+
 TEST_F(AdminTest, TellsOfOneMessage) {
   finals_status = 503;
   endpoint.on_request([](const Got& g) {
