An agent without descriptors takes its relays for silent no more

A question that could not be put, as the agent had no descriptor or memory for its socket, counted as the relay's silence: after 10 s of it relays that were well were ended by SIGKILL. The answer tells now that the question was not put, and the agent asks again later. The new test fails without this.

--- a/fleet/admin_client.cpp
+++ b/fleet/admin_client.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
-#include <cstring>
 #include <memory>
 
 namespace heronvane::fleet {
@@ -31,7 +30,7 @@
   void start(std::chrono::milliseconds patience) {
     // By the folder's descriptor: a path of any length may be connected to so.
     const int folder = ::open(request_.folder.c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0) return later(std::strerror(errno));
+    if (folder < 0) return later(errno);
     const std::string path = "/proc/self/fd/" + std::to_string(folder) + "/admin.sock";
     stream_.expires_after(patience);
     error_code bad;
@@ -40,7 +39,7 @@
     // Connects at once or not at all: a Unix socket whose queue is full gives EAGAIN.
     if (!bad) stream_.socket().connect(net::local::stream_protocol::endpoint(path), bad);
     ::close(folder);
-    if (bad) return later(bad.message());
+    if (bad) return later(bad.value());
     head_.method(request_.post ? http::verb::post : http::verb::get);
     head_.target(request_.target);
     head_.version(11);
@@ -52,17 +51,20 @@
       head_.prepare_payload();
     }
     http::async_write(stream_, head_, [self = shared_from_this()](error_code failed, std::size_t) {
-      if (failed) return self->end({0, "", failed.message()});
+      if (failed) return self->end({0, "", failed.message(), false});
       http::async_read(self->stream_, self->buffer_, self->answer_, [self](error_code unread, std::size_t) {
-        if (unread) return self->end({0, "", unread.message()});
-        self->end({self->answer_.get().result_int(), std::move(self->answer_.get().body()), ""});
+        if (unread) return self->end({0, "", unread.message(), false});
+        self->end({self->answer_.get().result_int(), std::move(self->answer_.get().body()), "", false});
       });
     });
   }
 
  private:
-  void later(std::string why) {
-    net::post(io_, [self = shared_from_this(), why] { self->end({0, "", why}); });
+  void later(int why) {
+    const bool not_put = why == EMFILE || why == ENFILE || why == ENOMEM || why == ENOBUFS;
+    net::post(io_, [self = shared_from_this(), why, not_put] {
+      self->end({0, "", error_code(why, boost::system::generic_category()).message(), not_put});
+    });
   }
   void end(AdminAnswer answer) {
     error_code ignored;
--- a/fleet/admin_client.hpp
+++ b/fleet/admin_client.hpp
@@ -22,6 +22,8 @@
   unsigned status = 0;  // 0: none came
   std::string body;
   std::string why;  // none came: why
+  bool not_put =
+      false;  // none came as this process lacks descriptors or memory: of the relay that says nothing
 };
 
 // `done` is called once, from the loop, never from within this call.
--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -439,6 +439,8 @@
 
 void Agent::answered(const std::string& name, const AdminAnswer& a) {
   Instance& i = instance(name);
+  // The agent's own want must not end relays that are well.
+  if (a.not_put) return ask_later(i, options_.ask_gap);
   event::StatusSeen e;
   e.name = name;
   bool seen = false;
--- a/tests/fleet/admin_client_test.cpp
+++ b/tests/fleet/admin_client_test.cpp
@@ -1,7 +1,9 @@
 // Asking relays that answer, that are silent, that talk without end, and that are not there.
 #include "admin_client.hpp"
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <boost/asio/local/stream_protocol.hpp>
@@ -80,6 +82,25 @@
   EXPECT_EQ(a.status, 0u);
   EXPECT_FALSE(a.why.empty());
 }
+// Else an agent that has no descriptor left would take all its relays for silent, and end them.
+TEST_F(AdminClientTest, WantOfDescriptorsIsNotTheRelaysSilence) {
+  EXPECT_FALSE(ask().not_put);  // nobody listens
+  const int next = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  ::close(next);
+  rlimit before{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  rlimit none = before;
+  none.rlim_cur = static_cast<rlim_t>(next);
+  std::optional<AdminAnswer> got;
+  ::setrlimit(RLIMIT_NOFILE, &none);
+  ask_admin(io, {folder, false, "/v1/status", ""}, [&](AdminAnswer a) { got = std::move(a); });
+  ::setrlimit(RLIMIT_NOFILE, &before);
+  io.restart();
+  io.run();
+  ASSERT_TRUE(got);
+  EXPECT_EQ(got->status, 0u);
+  EXPECT_TRUE(got->not_put) << got->why;
+}
 TEST_F(AdminClientTest, ASilentOneIsNotWaitedForLong) {
   serve([](auto) {});
   EXPECT_EQ(ask(std::chrono::milliseconds(100)).status, 0u);
