heronvanectl: an agent's version moves no terminal, logs are valid JSON, -n as the agent has it

The warning of an agent of another version showed its version with control characters; -o json logs held the log's bytes, UTF-8 or not; -n took up to 100,000 lines, of which the agent refuses more than 10,000; and restart was told as 'drain and start again', while it ends a run and starts the next, which goes on with what is held. The three tests fail without this.

--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -33,7 +33,7 @@
                 "--all --no-wait --supersede --max-unavailable"},
     CommandInfo{"undrain", "Take messages again", CommandInfo::Takes::instances,
                 "--all --no-wait --supersede --max-unavailable"},
-    CommandInfo{"restart", "Drain and start again, few at a time", CommandInfo::Takes::instances,
+    CommandInfo{"restart", "End and start again, few at a time", CommandInfo::Takes::instances,
                 "--all --rolling --no-wait --supersede --max-unavailable"},
     CommandInfo{"apply", "Make the fleet what a fleet file says", CommandInfo::Takes::file,
                 "--dry-run --yes --no-wait --supersede --max-unavailable"},
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -159,7 +159,7 @@
     });
     l->add_option("NAME", text_)->required()->check(CLI::Validator(name_fault, "", ""));
     l->add_flag("-f,--follow", follow_, "Go on as lines come");
-    l->add_option("-n,--lines", lines_, "How many of the last lines")->check(CLI::Range(0, 100000));
+    l->add_option("-n,--lines", lines_, "How many of the last lines")->check(CLI::Range(0, 10000));
     auto* o = command("operation", [this] { invocation_.command = ShowOperation{number_, !no_wait_}; });
     o->add_option("ID", number_)->required()->check(CLI::Range(1ull, 1ull << 53));
     o->add_flag("--no-wait", no_wait_, "Show it as it is now");
--- a/cli/run.cpp
+++ b/cli/run.cpp
@@ -56,8 +56,8 @@
 void Run::warn_of_other_versions() {
   for (const auto& p : session_.ports())
     if (p->other_api() != 0)
-      put(2, wrapped("heronvanectl: the agent at " + p->address() + " speaks " + p->versions() +
-                         ": it is read as far as it goes, and changes are not sent to it",
+      put(2, wrapped(safe("heronvanectl: the agent at " + p->address() + " speaks " + p->versions() +
+                          ": it is read as far as it goes, and changes are not sent to it"),
                      0, style_of(2).width));
 }
 
--- a/cli/session.cpp
+++ b/cli/session.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "overlap.hpp"
+#include "relay/core/utf8.hpp"
 
 namespace heronvane::cli {
 
@@ -30,7 +31,8 @@
 std::string escaped(const std::string& text) {
   rapidjson::StringBuffer b;
   rapidjson::Writer<rapidjson::StringBuffer> w(b);
-  w.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+  const std::string sound = printable(text);  // logs hold any bytes
+  w.String(sound.data(), static_cast<rapidjson::SizeType>(sound.size()));
   return b.GetString();
 }
 
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -107,6 +107,11 @@
   EXPECT_TRUE(has(missing.err, "nothing is scripted"));
 }
 
+TEST_F(Commands, ALogThatIsNoUtf8IsJsonAllTheSame) {
+  agent.on("GET /v1/instances/n0/log?lines=100", Reply::text("a\xff\xc3\n"));
+  EXPECT_EQ(run({"-o", "json", "logs", "n0"}).out, "{\"instance\":\"n0\",\"log\":\"a??\\n\"}\n");
+}
+
 TEST_F(Commands, Cancel) {
   script_fleet(agent);
   agent.on("DELETE /v1/operations/7", operation_json(7, "drain", "cancelled", ""));
@@ -137,6 +142,7 @@
                                              {"show"},
                                              {"show", "a/b"},
                                              {"cancel", "x"},
+                                             {"logs", "n0", "-n", "10001"},  // more than the agent gives
                                              {"list", "-o", "xml"},
                                              {"up", "--max-unavailable", "0"},
                                              {"completion", "tcsh"},
@@ -301,6 +307,11 @@
   const auto r = run({"list"});
   EXPECT_TRUE(has(r.out, "?[2Jx?")) << r.out;
   EXPECT_FALSE(has(r.out, "\x1b"));
+  // Nor does its version, where it speaks another one.
+  agent.on("GET /v1/agent", Reply::json(R"({"name":"web1","version":"9\u001b[2J","api":2})").api("2"));
+  agent.on("GET /v1/instances", Reply::json(R"({"generation":1,"instances":[]})").api("2"));
+  const auto other = run({"list"});
+  EXPECT_TRUE(has(other.err, "heronvane-agent 9?[2J")) << other.err;
 }
 
 class Several : public Commands {
