heronvane-agent refuses a data folder that holds other things

A folder that is there and holds neither an agent's lock nor its database, but other things, is left as it is and told. The new test fails without this.

--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -44,6 +44,18 @@
       .count();
 }
 
+// A slip of the hand must not close /var or /tmp to all others: only a folder of the agent's own gets its
+// mode.
+bool holds_other_things(const std::string& path, std::error_code& bad) {
+  bool any = false;
+  for (std::filesystem::directory_iterator at(path, bad), end; !bad && at != end; at.increment(bad)) {
+    const auto name = at->path().filename();
+    if ((name == "lock" || name == "agent.db") && at->is_regular_file(bad)) return false;
+    any = any || (name != "instances" && name != "lost+found");
+  }
+  return any;
+}
+
 std::uint64_t seed() {
   std::random_device random;
   return (static_cast<std::uint64_t>(random()) << 32) | random();
@@ -57,6 +69,8 @@
   };
   std::error_code bad;
   std::filesystem::create_directories(path, bad);
+  if (!bad && holds_other_things(path, bad))
+    throw std::runtime_error(path + ": holds other things: name a folder of the agent's own");
   if (bad) throw std::runtime_error(path + ": " + bad.message());
   must(::chmod(path.c_str(), 0700) == 0, path);
   const std::string instances = path + "/instances", lock = path + "/lock";
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -1,4 +1,6 @@
 // The agent among relays that crash, stall, drain and vanish.
+#include <sys/stat.h>
+
 #include "agent_harness.hpp"
 
 namespace heronvane::fleet::testing {
@@ -121,6 +123,27 @@
   EXPECT_EQ(get("/v1/agent").status, 200u);
 }
 
+// The folder gets a mode of its own: /tmp named by mistake would be closed to all others.
+TEST_F(AgentTest, AFolderOfOtherThingsIsLeftAlone) {
+  std::filesystem::create_directories(data());
+  ::chmod(data().c_str(), 0755);
+  std::ofstream(data() + "/other") << "x";
+  start_agent({}, false);
+  int status = 0;
+  wait_for([&] { return agent_gone(&status); }, "it ends");
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 1);
+  EXPECT_NE(whole(folder + "/agent.log").find("holds other things"), std::string::npos);
+  struct stat about {};
+  ASSERT_EQ(::stat(data().c_str(), &about), 0);
+  EXPECT_EQ(about.st_mode & 0777, 0755u);
+  // A copy of the database in an empty one is what a backup is put back as.
+  std::filesystem::rename(data() + "/other", data() + "/agent.db");
+  std::filesystem::resize_file(data() + "/agent.db", 0);
+  start_agent();
+  ASSERT_EQ(::stat(data().c_str(), &about), 0);
+  EXPECT_EQ(about.st_mode & 0777, 0700u);
+}
+
 TEST_F(AgentTest, ARelayWithoutItsStateFolderStartsOnANewOne) {
   start_agent();
   serve(2);
