Relays refuse fences above 2^52

The agent's operation ids go on from the highest fence it sees at a relay, and relays take fences up to 2^63-1: one such, set by hand, left the agent no id that any relay takes, nor one that heronvanectl reads. Both tests fail without this.

--- a/relay/command_line.cpp
+++ b/relay/command_line.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <set>
 
+#include "core/drain.hpp"
+
 namespace heronvane {
 
 const char* const kUsage =
@@ -26,7 +28,7 @@
 std::int64_t fence(const std::string& text) {
   std::int64_t v = -1;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), v);
-  if (error != std::errc() || end != text.data() + text.size() || v < 0)
+  if (error != std::errc() || end != text.data() + text.size() || v < 0 || v > kMostFence)
     throw UsageError("--undrain: must be a whole number, not '" + text + "'");
   return v;
 }
--- a/relay/fronts/admin_request.cpp
+++ b/relay/fronts/admin_request.cpp
@@ -67,8 +67,10 @@
                        "the body is no JSON, at byte " + std::to_string(v.GetErrorOffset()), hint);
   if (!v.IsObject()) return admin_error(400, "bad_request", "the body is no object", hint);
   const auto it = v.FindMember("fence");
-  if (it == v.MemberEnd() || !it->value.IsInt64() || it->value.GetInt64() < 0)
-    return admin_error(400, "bad_request", "fence: must be a whole number, 0 or above", hint);
+  if (it == v.MemberEnd() || !it->value.IsInt64() || it->value.GetInt64() < 0 ||
+      it->value.GetInt64() > kMostFence)
+    return admin_error(400, "bad_request",
+                       "fence: must be a whole number from 0 to " + std::to_string(kMostFence), hint);
   return Fenced{it->value.GetInt64()};
 }
 
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -69,7 +69,8 @@
        {std::string(), std::string("5"), std::string("{}"), std::string("{\"fence\":-1}"),
         std::string("{\"fence\":1.5}"), std::string("{\"fence\":\"1\"}"), std::string("{\"fence\":null}"),
         std::string("{\"fence\":99999999999999999999}"), std::string("{\"fence\":1} x"),
-        std::string(60'000, '['), std::string("{\"fence\":1")})
+        std::string("{\"fence\":9223372036854775807}"), std::string(60'000, '['),
+        std::string("{\"fence\":1")})
     EXPECT_EQ(error("POST", "/v1/drain", bad), 400u) << bad.substr(0, 40);
 }
 
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -42,7 +42,8 @@
   EXPECT_EQ(error({"--config", ""}), "--config: its value is missing; --help lists the options");
   EXPECT_EQ(error({"--version=1"}), "--version: takes no value");
   EXPECT_EQ(error({"--config", "a", "--config=b"}), "--config: given twice");
-  for (const std::string bad : {"-1", "1x", " 1", "0x10", "99999999999999999999", "1.5"})
+  for (const std::string bad :
+       {"-1", "1x", " 1", "0x10", "99999999999999999999", "9223372036854775807", "1.5"})
     EXPECT_EQ(error({"--undrain=" + bad}), "--undrain: must be a whole number, not '" + bad + "'");
   for (const std::string bad :
        {"0123456789abcde", "0123456789abcdef0", "0123456789ABCDEF", "0123456789abcdeg"})
