The agent's TLS takes clients that offer an earlier session, and names of any bytes

The agent gave out session tickets, but took none back: without a session's context OpenSSL ends a handshake that offers one with an internal error (openssl s_client -sess_in: alert 80, TLS 1.2 and 1.3), so a client that resumes sessions failed at its second connection. No tickets are given out now, and each connection shows its certificate anew. And the name in a client's certificate stands in 'by' of operations: one that is no UTF-8 (T61String) made the answers that tell of its operations no JSON, for all who ask, as long as the operation is kept. Both tests fail without this.

--- a/fleet/api_server.cpp
+++ b/fleet/api_server.cpp
@@ -17,6 +17,8 @@
 #include <optional>
 #include <stdexcept>
 
+#include "json.hpp"
+
 namespace heronvane::fleet {
 
 namespace net = boost::asio;
@@ -103,7 +105,8 @@
         if (shown == nullptr) return;  // the context asks for one; not looked at twice for nothing
         X509_NAME_get_text_by_NID(X509_get_subject_name(shown), NID_commonName, name, sizeof name);
         X509_free(shown);
-        self->start(std::string("certificate ") + name);
+        // Its authority may have signed any bytes; they are shown as JSON.
+        self->start("certificate " + printable(name));
       });
     }
   }
@@ -356,7 +359,11 @@
   must(tls.use_private_key_file(files.key, ssl::context::pem, bad), files.key);
   must(tls.load_verify_file(files.client_ca, bad), files.client_ca);
   tls.set_verify_mode(ssl::verify_peer | ssl::verify_fail_if_no_peer_cert);
+  // Each connection shows its certificate anew: a client that took up an earlier session would be turned
+  // away.
   SSL_CTX_set_session_cache_mode(tls.native_handle(), SSL_SESS_CACHE_OFF);
+  SSL_CTX_set_options(tls.native_handle(), SSL_OP_NO_TICKET);
+  SSL_CTX_set_num_tickets(tls.native_handle(), 0);
   auto& acceptor = impl_->tls_acceptor.emplace(impl_->io);
   acceptor.open(address.protocol());
   acceptor.set_option(net::socket_base::reuse_address(true));
--- a/tests/fleet/api_server_test.cpp
+++ b/tests/fleet/api_server_test.cpp
@@ -268,7 +268,8 @@
   }
 };
 // Signed by `issuer`, or by itself.
-std::unique_ptr<Identity> identity(const char* name, const Identity* issuer, long serial) {
+std::unique_ptr<Identity> identity(const char* name, const Identity* issuer, long serial,
+                                   int coded = MBSTRING_ASC) {
   auto i = std::make_unique<Identity>();
   i->key = EVP_EC_gen("P-256");
   i->certificate = X509_new();
@@ -277,7 +278,7 @@
   X509_gmtime_adj(X509_getm_notBefore(i->certificate), -3600);
   X509_gmtime_adj(X509_getm_notAfter(i->certificate), 3600);
   X509_set_pubkey(i->certificate, i->key);
-  X509_NAME_add_entry_by_txt(X509_get_subject_name(i->certificate), "CN", MBSTRING_ASC,
+  X509_NAME_add_entry_by_txt(X509_get_subject_name(i->certificate), "CN", coded,
                              reinterpret_cast<const unsigned char*>(name), -1, -1, 0);
   X509_set_issuer_name(i->certificate,
                        X509_get_subject_name(issuer != nullptr ? issuer->certificate : i->certificate));
@@ -297,6 +298,7 @@
     ca->write(folder + "/ca");
     identity("agent", ca.get(), 2)->write(folder + "/agent");
     identity("ops", ca.get(), 3)->write(folder + "/ops");
+    identity("J\xf6rg", ca.get(), 6, V_ASN1_T61STRING)->write(folder + "/latin");
     const auto other = identity("other ca", nullptr, 4);
     identity("ops", other.get(), 5)->write(folder + "/stranger");
     server = std::make_unique<ApiServer>(io, api);
@@ -305,7 +307,9 @@
     thread = std::thread([this] { io.run(); });
   }
   // Empty: no answer.
-  std::string ask_tls(const std::string& who, int most_version = TLS1_3_VERSION) {
+  // `session`: what an earlier connection left is offered, and this one's kept in its place.
+  std::string ask_tls(const std::string& who, int most_version = TLS1_3_VERSION,
+                      std::vector<unsigned char>* session = nullptr) {
     net::io_context own;
     ssl::context context(ssl::context::tls_client);
     SSL_CTX_set_security_level(context.native_handle(), 0);
@@ -318,6 +322,12 @@
     }
     ssl::stream<net::ip::tcp::socket> s(own, context);
     error_code bad;
+    if (session != nullptr && !session->empty()) {
+      const unsigned char* from = session->data();
+      SSL_SESSION* const earlier = d2i_SSL_SESSION(nullptr, &from, static_cast<long>(session->size()));
+      EXPECT_EQ(SSL_set_session(s.native_handle(), earlier), 1);
+      SSL_SESSION_free(earlier);
+    }
     s.lowest_layer().connect(at, bad);
     if (!bad) s.handshake(ssl::stream_base::client, bad);
     const std::string body = R"({"kind":"up","names":"all"})";
@@ -327,6 +337,13 @@
     if (!bad) net::write(s, net::buffer(bytes), bad);
     std::string all;
     if (!bad) net::read(s, net::dynamic_buffer(all), bad);
+    // By now a session that the agent gave out has come too.
+    if (session != nullptr) {
+      SSL_SESSION* const left = SSL_get0_session(s.native_handle());
+      session->resize(static_cast<std::size_t>(i2d_SSL_SESSION(left, nullptr)));
+      unsigned char* to = session->data();
+      i2d_SSL_SESSION(left, &to);
+    }
     return all;
   }
   net::ip::tcp::endpoint at;
@@ -357,6 +374,17 @@
   EXPECT_TRUE(end);
   EXPECT_EQ(ask(path, "GET", "/v1/agent").status, 200u);
 }
+// As clients do that connect more than once.
+TEST_F(TlsTest, AnEarlierSessionMayBeOffered) {
+  for (const int version : {TLS1_2_VERSION, TLS1_3_VERSION}) {
+    std::vector<unsigned char> session;
+    for (int i = 0; i < 3; i++) EXPECT_NE(ask_tls("ops", version, &session), "") << version << " " << i;
+  }
+}
+TEST_F(TlsTest, ANameThatIsNoUtf8LeavesAnswersJson) {
+  EXPECT_NE(ask_tls("latin").find("X-Heronvane-Api: 1"), std::string::npos);
+  EXPECT_EQ(agent.last_by, "certificate J?rg");
+}
 TEST_F(TlsTest, OldVersionsAreRefused) { EXPECT_EQ(ask_tls("ops", TLS1_1_VERSION), ""); }
 TEST_F(TlsTest, PlainTextIsDropped) {
   net::io_context own;
