--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -69,7 +69,8 @@
        {std::string(), std::string("5"), std::string("{}"), std::string("{\"fence\":-1}"),
         std::string("{\"fence\":1.5}"), std::string("{\"fence\":\"1\"}"), std::string("{\"fence\":null}"),
         std::string("{\"fence\":99999999999999999999}"), std::string("{\"fence\":1} x"),
-        std::string(60'000, '['), std::string("{\"fence\":1")})
+        std::string("{\"fence\":9223372036854775807}"), std::string(60'000, '['),
+        std::string("{\"fence\":1")})
     EXPECT_EQ(error("POST", "/v1/drain", bad), 400u) << bad.substr(0, 40);
 }
 
@@ -136,6 +137,25 @@
   EXPECT_FALSE(status()["ready"].GetBool());
 }
 
+// Whoever asks takes an answer that is no JSON for none, and a relay without answers for one that hangs.
+TEST_F(AdminTest, NamesThatAreNoUtf8LeaveTheAnswerJson) {
+  const auto sound = [](const Response& answer) {
+    rapidjson::Document v;
+    v.Parse<rapidjson::kParseValidateEncodingFlag>(answer.body().data(), answer.body().size());
+    return !v.HasParseError();
+  };
+  members = member("s-\xff", endpoint.address());
+  endpoint.on_request(stay_silent);
+  start();
+  std::string bytes = request("m1", kSafe);
+  bytes.insert(bytes.find("X-Class"), "X-Tenant: \xc3\xc3\r\n");
+  EXPECT_EQ(ask(bytes), 202u);
+  const auto s = ask_admin("GET", "/v1/status"), m = ask_admin("GET", "/v1/messages/m1");
+  EXPECT_TRUE(sound(s)) << s.body();
+  EXPECT_NE(s.body().find("\"s-?\""), std::string::npos) << s.body();
+  EXPECT_TRUE(sound(m)) << m.body();
+}
+
 TEST_F(AdminTest, TellsOfOneMessage) {
   finals_status = 503;
   endpoint.on_request([](const Got& g) {
