Relay: what is turned down says why; a configuration's file is named; -h

Who handed in a message with curl got an empty 400 or 404 and had to guess. The reason that the log counts now stands in the answer's body, in the words of the headers; an answer to HEAD has none. A file that is no JSON was 'config: Invalid value. at byte 0': the file and the fault are named.

--- a/relay/command_line.cpp
+++ b/relay/command_line.cpp
@@ -14,10 +14,12 @@
     "  --settings FILE    the operator's settings, TOML (HERONVANE_SETTINGS)\n"
     "  --run ID           this run's id, 16 hexadecimal digits; else one is drawn\n"
     "  --undrain FENCE    take a drain back that is kept in the folder\n"
-    "  --check-config     read the configuration and the settings, say what is there, and end\n"
-    "  --version, --help\n"
+    "  --check-config     read the configuration and the settings, say what is there,\n"
+    "                     and end\n"
+    "  --version, -h, --help\n"
     "\n"
-    "Options win over the variables in brackets. SIGTERM ends it, SIGHUP has the configuration read again.\n";
+    "Options win over the variables in brackets. SIGTERM ends it, SIGHUP has the\n"
+    "configuration read again.\n";
 
 namespace {
 
@@ -48,10 +50,10 @@
     const bool option = word.size() > 2 && word.compare(0, 2, "--") == 0;
     const auto equals = option ? word.find('=') : std::string::npos;
     const std::string name = word.substr(0, equals);
-    bool* const flag = name == "--check-config" ? &c.check_config
-                       : name == "--version"    ? &c.version
-                       : name == "--help"       ? &c.help
-                                                : nullptr;
+    bool* const flag = name == "--check-config"           ? &c.check_config
+                       : name == "--version"              ? &c.version
+                       : name == "--help" || name == "-h" ? &c.help
+                                                          : nullptr;
     const bool valued = name == "--config" || name == "--state" || name == "--settings" || name == "--run" ||
                         name == "--undrain";
     if (flag == nullptr && !valued)
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -4,8 +4,10 @@
 #include <rapidjson/error/en.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
@@ -45,8 +47,8 @@
   rapidjson::Document v;
   v.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
   if (v.HasParseError())
-    malformed("config", (std::string(rapidjson::GetParseError_En(v.GetParseError())) + " at byte " +
-                         std::to_string(v.GetErrorOffset()))
+    malformed("config", ("is no JSON at byte " + std::to_string(v.GetErrorOffset()) + ": " +
+                         rapidjson::GetParseError_En(v.GetParseError()))
                             .c_str());
   const std::string path = "config";
   as_object(v, path);
@@ -96,8 +98,15 @@
     throw std::runtime_error(
         "no configuration: name its file by --config FILE or LB_CONFIG; --help lists all options");
   std::ifstream in(places.config, std::ios::binary);
-  if (!in) throw std::runtime_error("configuration: can't read " + places.config);
-  Config c = read_config({std::istreambuf_iterator<char>(in), {}});
+  if (!in)
+    throw std::runtime_error("configuration: can't read " + places.config + ": " + std::strerror(errno));
+  Config c = [&] {
+    try {
+      return read_config({std::istreambuf_iterator<char>(in), {}});
+    } catch (const std::exception& e) {
+      throw std::runtime_error(places.config + ": " + e.what());
+    }
+  }();
   c.state_folder = places.state;
   c.own = load_operator_settings(places.settings);
   if (c.own.admin.socket) {
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -193,7 +193,7 @@
     intake_.tally_.add(why);
     stage_ = Stage::answering;
     close_after_ = doubtful_ = true;
-    answer({status, status == 503 ? kComeBack : 0});
+    answer({status, status == 503 ? kComeBack : 0}, why);
   }
 
   void handle() {
@@ -213,7 +213,8 @@
     });
   }
 
-  void answer(const Answer& a) {
+  // `why`, where it was turned down, is for people who read the answer.
+  void answer(const Answer& a, const char* why = nullptr) {
     if (closed_) return;
     response_ = {};
     response_.version(11);
@@ -223,6 +224,10 @@
     // Guards against clients that ask once and keep their connection: they would hold what others need.
     close_after_ = close_after_ || intake_.draining_ || intake_.short_of_room();
     response_.keep_alive(!close_after_);
+    if (why != nullptr && parser_->get().method() != http::verb::head) {
+      response_.set(http::field::content_type, "text/plain");
+      response_.body() = std::string(why) + "\n";
+    }
     response_.prepare_payload();
     limit(kAnswerTime);
     http::async_write(socket_, response_, [self = shared_from_this()](error_code bad, std::size_t) {
@@ -258,7 +263,7 @@
   net::steady_timer timer_;
   Buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
-  http::response<http::empty_body> response_;
+  http::response<http::string_body> response_;
   Stage stage_ = Stage::idle;
   Time since_ = 0;  // of being idle, or of reading
   std::size_t reserved_ = 0, lingered_ = 0;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <exception>
 #include <functional>
@@ -17,6 +18,10 @@
 
 namespace {
 
+// Less than this holds few messages, and much less than it none: that is told, for it looks like a relay that
+// is well.
+constexpr std::uint64_t kLittleDisk = 1'000'000;
+
 // A file that can't be read changes nothing.
 void reload(heronvane::Relay& relay, const heronvane::Places& places) {
   try {
@@ -41,6 +46,8 @@
   const heronvane::Config config = heronvane::load_config(places);
   if (config.state_folder.empty())
     throw std::runtime_error("no state folder: name it by --state FOLDER or LB_STATE");
+  if (config.disk_bytes < kLittleDisk)
+    heronvane::log("configuration: limits.disk_mb is below 1: messages may be refused for want of room");
   heronvane::Relay::Start start;
   start.run = options.run.empty() ? drawn_run() : options.run;
   start.undrain = options.undrain;
--- a/relay/request.cpp
+++ b/relay/request.cpp
@@ -69,20 +69,20 @@
   if (path.starts_with('/')) path.remove_prefix(1);
   path = path.substr(0, path.find('/'));
   const auto cls = names.classes.find(std::string(path));
-  if (cls == names.classes.end()) return refuse(404, "unknown class");
+  if (cls == names.classes.end()) return refuse(404, "the path names no known class");
   if (request.method() != http::verb::post) return refuse(405, "unknown method");
   for (const char* once : {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Consignee"})
-    if (request.count(once) > 1) return refuse(400, "a field stands twice");
+    if (request.count(once) > 1) return refuse(400, "a header stands twice");
   const auto named = request["X-Class"], tenant = request["X-Tenant"];
-  if (!named.empty() && named != path) return refuse(400, "two classes");
-  if (!usable_id(request["X-Request-Id"])) return refuse(400, "no usable id");
+  if (!named.empty() && named != path) return refuse(400, "X-Class is not that of the path");
+  if (!usable_id(request["X-Request-Id"])) return refuse(400, "no usable X-Request-Id");
   if (tenant.size() > kMostName || (!names.tenants.empty() && names.tenants.count(std::string(tenant)) == 0))
-    return refuse(400, "unknown tenant");
+    return refuse(400, "unknown X-Tenant");
   const auto dest = destination(request["X-Consignee"]);
-  if (!dest) return refuse(400, "no usable destination");
+  if (!dest) return refuse(400, "no usable dest in X-Consignee");
   const auto most = kMostDeadlines * settings.classes[static_cast<std::size_t>(cls->second)].deadline;
   const auto left = duration(request["X-Deadline"], most);
-  if (!left) return refuse(400, "no usable deadline");
+  if (!left) return refuse(400, "no usable X-Deadline, or over twice its class's");
   h.message.id = std::string(request["X-Request-Id"]);
   h.message.message_class = std::string(path);
   h.message.tenant = std::string(tenant);
--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -33,7 +33,7 @@
 TEST(CommandLine, WhatCantBeUnderstoodIsNamed) {
   EXPECT_EQ(error({"--confg", "x"}), "unknown option '--confg'; --help lists the options");
   EXPECT_EQ(error({"config.json"}), "unexpected argument 'config.json'; --help lists the options");
-  EXPECT_EQ(error({"-h"}), "unexpected argument '-h'; --help lists the options");
+  EXPECT_EQ(error({"-x"}), "unexpected argument '-x'; --help lists the options");
   EXPECT_EQ(error({"--"}), "unexpected argument '--'; --help lists the options");
   EXPECT_EQ(error({""}), "unexpected argument ''; --help lists the options");
   EXPECT_EQ(error({"--config"}), "--config: its value is missing; --help lists the options");
@@ -79,13 +79,18 @@
   EXPECT_EQ(run({}), 1);
   EXPECT_NE(one_line().find("no configuration: name its file by --config FILE or LB_CONFIG"),
             std::string::npos);
+  EXPECT_EQ(run({"-h"}), 0);
+  EXPECT_NE(logged().find("--config FILE"), std::string::npos);
   EXPECT_EQ(run({"--nonsense"}), 1);
   EXPECT_NE(one_line().find("unknown option '--nonsense'"), std::string::npos);
   members = member("s-1", endpoint.address());
   EXPECT_EQ(run({"--config", folder + "/config.json"}), 1);
   EXPECT_NE(one_line().find("no state folder: name it by --state FOLDER or LB_STATE"), std::string::npos);
   EXPECT_EQ(run({"--config", folder + "/nowhere.json", "--state", folder + "/state"}), 1);
-  EXPECT_NE(one_line().find("can't read " + folder + "/nowhere.json"), std::string::npos);
+  EXPECT_NE(one_line().find("can't read " + folder + "/nowhere.json: No such file"), std::string::npos);
+  std::ofstream(folder + "/fleet.toml") << "[fleet]\n";
+  EXPECT_EQ(run({"--config", folder + "/fleet.toml", "--check-config"}), 1);
+  EXPECT_NE(one_line().find(folder + "/fleet.toml: config: is no JSON at byte "), std::string::npos);
 }
 
 // All is read, nothing is touched: no state folder, no address.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -20,7 +20,8 @@
     EXPECT_EQ(wait_exit(), 1) << by;
     const auto log = logged();
     EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 1) << log;
-    EXPECT_NE(log.find("heronvane: config." + field + ": "), std::string::npos) << log;
+    EXPECT_NE(log.find("heronvane: " + folder + "/config.json: config." + field + ": "), std::string::npos)
+        << log;
   }
 };
 
@@ -44,8 +45,12 @@
   start();
   wait_for([&] { return watches.size() == 1; }, "the watch");
   reload(with("\"Tick\":5000", "\"Tick\":5000,\"Report\":5"));
-  wait_for([&] { return logged().find("the old one stays: config.settings.Report: ") != std::string::npos; },
-           "the line in the log");
+  wait_for(
+      [&] {
+        return logged().find("the old one stays: " + folder + "/config.json: config.settings.Report: ") !=
+               std::string::npos;
+      },
+      "the line in the log");
   EXPECT_EQ(hand_in("m1", "pay-and-order"), 202u);
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
   EXPECT_EQ(watches.size(), 1u);
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -428,6 +428,7 @@
   spawn(config());
   wait_for([&] { return health() == 503; }, "it runs");
   EXPECT_NE(logged().find("more than the limit"), std::string::npos) << logged();
+  EXPECT_NE(logged().find("limits.disk_mb is below 1"), std::string::npos);
   EXPECT_EQ(hand_in("refused", kSafe), 503u);
   endpoint.on_request(answer_ok);
   for (const auto& g : endpoint.got) g.session->close();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -58,6 +58,29 @@
   EXPECT_NE(endpoint.got[0].request["X-Request-Id"], endpoint.got[1].request["X-Request-Id"]);
 }
 
+// Who hands in a message by hand reads what was wrong with it; an answer to HEAD has no body.
+TEST_F(RelayTest, WhatIsTurnedDownIsToldWhy) {
+  start();
+  const auto why = [this](const std::string& bytes) {
+    const auto client = connect();
+    client->write(bytes);
+    wait_for([&] { return client->ended || !client->answers.empty(); }, "an answer");
+    return client->answers.empty() ? "no answer" : client->answers[0].body();
+  };
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  EXPECT_EQ(why("POST /load-status HTTP/1.1\r\n" + end), "no usable X-Request-Id\n");
+  EXPECT_EQ(why("POST /unheard-of HTTP/1.1\r\n" + end), "the path names no known class\n");
+  EXPECT_EQ(why("POST /load-status HTTP/1.1\r\nX-Request-Id: m1\r\nX-Consignee: dest=7\r\n" + end),
+            "no usable X-Deadline, or over twice its class's\n");
+  EXPECT_EQ(why("POST /load-status HTTP/1.1\r\nX-Request-Id: m1\r\nX-Deadline: 9m\r\n" + end),
+            "no usable dest in X-Consignee\n");
+  const auto client = connect();
+  client->write("HEAD /load-status HTTP/1.1\r\n\r\n");
+  wait_for([&] { return client->ended; }, "its end");
+  ASSERT_EQ(client->answers.size(), 1u);
+  EXPECT_EQ(client->answers[0].body(), "");
+}
+
 // Whatever comes in is answered or dropped, and the next message is served as if nothing had been.
 TEST_F(RelayTest, BadInputIsTurnedDown) {
   start();
