Agent: what hinders the platform stands in its status; pid in lock; short first diff

A platform whose address was taken, or whose partners file was broken or gone, left heronvanectl status at 'Nothing needs attention.', though the page promised platform.trouble; only the agent's log told. Now it is in GET /v1/agent and under 'Needs attention'. Nothing said how to end an agent in the background: its pid stands in lock, and a second agent names it. A first apply printed 50 lines of settings that the reader has in the file: many values of one part are one line. After a failed apply status offered to restart the others into the same fault: rollback is offered too. A name that is unknown is answered with the tool's command, not the API's path. Help fits 80 columns.

--- a/cli/model.cpp
+++ b/cli/model.cpp
@@ -174,7 +174,7 @@
   f.object("platform", [&](const Fields& p) {
     Platform t;
     p("listen", t.listen), p("index", t.index), p("endpoints", t.endpoints), p("watchers", t.watchers);
-    p("finals", t.finals);
+    p("finals", t.finals), p("trouble", t.trouble);
     if (!t.listen.empty()) a.platform = t;
   });
   return a;
--- a/cli/model.hpp
+++ b/cli/model.hpp
@@ -14,6 +14,7 @@
 struct Platform {
   std::string listen;
   std::int64_t index = 0, endpoints = 0, watchers = 0, finals = 0;
+  std::string trouble;  // what hinders it and what to do
 };
 
 struct AgentInfo {
--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -78,7 +78,7 @@
   if (settled && i.generation != i.wanted_generation && i.generation > 0 && i.phase == "ready")
     return Attention{"runs the configuration of generation " + std::to_string(i.generation) + ", wanted is " +
                          std::to_string(i.wanted_generation),
-                     command + " restart " + i.name};
+                     command + " restart " + i.name + "; or take the change back: " + command + " rollback"};
   if (i.status && !i.status->trouble.empty())
     return Attention{i.status->trouble, command + " show " + i.name};
   if (i.phase == "draining" && i.held > 0 && i.oldest_ms > 60'000)
@@ -146,6 +146,13 @@
   }
 
   bool any = false;
+  if (a.platform && !a.platform->trouble.empty()) {
+    out += "\n" + toned("Needs attention", Tone::bold, style) + "\n  " +
+           toned("the platform", Tone::bold, style) + "\n" +
+           wrapped(safe(a.platform->trouble), 4, style.width) +
+           wrapped("next: mend that; it is tried again by itself", 4, style.width);
+    any = true;
+  }
   for (const auto& i : v.instances) {
     const auto what = attention(i, told.command, now_ms);
     if (!what) continue;
@@ -277,12 +284,39 @@
   return out;
 }
 
+// Of a first apply everything is new, and the reader has the file: many values of one part are one line.
+// Later changes are told one by one.
+static std::vector<std::string> folded(const std::vector<std::string>& diff) {
+  constexpr std::size_t kShown = 3;
+  const auto starts = [](const std::string& s, std::string_view with) { return s.rfind(with, 0) == 0; };
+  if (std::none_of(diff.begin(), diff.end(), [&](const auto& l) { return starts(l, "~ program none -> "); }))
+    return diff;
+  const auto part = [&](const std::string& line) {
+    const auto end = line.find(" none -> ");
+    if (end == std::string::npos || !starts(line, "~ ")) return std::string();
+    const std::string key = line.substr(0, end);
+    return key.substr(0, std::min(key.find(key.find('[') < key.size() ? '[' : '.'), key.size()));
+  };
+  std::map<std::string, std::size_t> of;
+  for (const auto& line : diff) of[part(line)]++;
+  std::vector<std::string> out;
+  for (const auto& line : diff) {
+    const auto p = part(line);
+    auto& n = of[p];
+    if (p.empty() || (n > 0 && n <= kShown))
+      out.push_back(line);
+    else if (n > 0)
+      out.push_back(p + ": " + std::to_string(n) + " values, as in the file"), n = 0;
+  }
+  return out;
+}
+
 std::string render_diff(const Told<Operation>& told, const Style& style) {
   const auto& o = told.value;
   std::string out;
   if (!told.label.empty()) out += toned(safe(told.label) + ":", Tone::bold, style) + "\n";
   if (o.diff.empty() && o.steps.empty()) return out + "No changes.\n";
-  for (const auto& line : o.diff) {
+  for (const auto& line : folded(o.diff)) {
     const Tone tone = line.empty()     ? Tone::plain
                       : line[0] == '+' ? Tone::good
                       : line[0] == '-' ? Tone::bad
--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdlib>
 #include <cstring>
 #include <filesystem>
 #include <random>
@@ -71,13 +72,23 @@
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
       continue;
     }
+    char pid[24] = {};
+    const bool told = ::pread(lock_, pid, sizeof pid - 1, 0) > 1;
     ::close(lock_);
-    throw std::runtime_error(path + ": " +
-                             (why == EWOULDBLOCK ? "another heronvane-agent has it" : std::strerror(why)));
+    if (why != EWOULDBLOCK) throw std::runtime_error(path + ": " + std::strerror(why));
+    throw std::runtime_error(path + ": another heronvane-agent has it" +
+                             (told ? ", pid " + std::to_string(std::atol(pid)) : ""));
   }
+  // For operators who want to end it. The lock holds without, where the disk is full.
+  const std::string pid = std::to_string(::getpid()) + "\n";
+  [[maybe_unused]] const bool written =
+      ::ftruncate(lock_, 0) == 0 && ::pwrite(lock_, pid.data(), pid.size(), 0) > 0;
 }
 
-DataFolder::~DataFolder() { ::close(lock_); }
+DataFolder::~DataFolder() {
+  [[maybe_unused]] const int emptied = ::ftruncate(lock_, 0);  // the pid may become another process's
+  ::close(lock_);
+}
 
 Agent::Agent(boost::asio::io_context& io, AgentOptions options)
     : io_(io),
--- a/fleet/api.cpp
+++ b/fleet/api.cpp
@@ -298,6 +298,7 @@
       key(w, "endpoints"), w.Uint64(about.platform->endpoints);
       key(w, "watchers"), w.Uint64(about.platform->watchers);
       key(w, "finals"), w.Int64(about.platform->finals);
+      key(w, "trouble"), put(w, about.platform->trouble);
       w.EndObject();
     })));
   }
@@ -312,7 +313,7 @@
     const auto v = d.instance(t.path[2]);
     if (!v)
       return done(api_error(404, "unknown", "there is no instance " + t.path[2],
-                            "GET /v1/instances names those there are"));
+                            "list those there are: heronvanectl list"));
     if (t.path.size() == 3) return done(json(instance_json(*v, agent_.status(t.path[2]), true)));
     const auto lines = t.count("lines", 100, kMostLines);
     return done({200, "text/plain; charset=utf-8", "", agent_.read_log(t.path[2], lines, t.flag("follow"))});
--- a/fleet/api.hpp
+++ b/fleet/api.hpp
@@ -48,6 +48,7 @@
   std::int64_t index = 0;
   std::size_t endpoints = 0, watchers = 0;
   std::int64_t finals = 0;
+  std::string trouble;  // what hinders it and what to do; "" where nothing does
 };
 struct AgentView {
   std::string name, version;
--- a/fleet/main.cpp
+++ b/fleet/main.cpp
@@ -38,17 +38,20 @@
 usage: heronvane-agent --data FOLDER [options]
 
   --data FOLDER         its own folder: database, socket, the instances' files
-  --listen-tls ADDRESS  the API also on TLS, 10.0.0.4:7443; with --cert, --key and --client-ca
+  --listen-tls ADDRESS  the API also on TLS, such as 10.0.0.4:7443; with --cert,
+                        --key and --client-ca
   --cert FILE           its certificate with the chain, PEM
   --key FILE            the certificate's key, PEM
   --client-ca FILE      signs the certificates of those who may ask, PEM
-  --foreground          stay in the foreground and log to standard error, not to FOLDER/agent.log
+  --foreground          stay in the foreground and log to standard error, not to
+                        FOLDER/agent.log
   --stop-relays         at SIGTERM end the relays too; without it they run on
   --version             print the version
   --help                print this
 
 The API is on the Unix socket FOLDER/agent.sock; heronvanectl speaks to it.
-Exit status: 0 ended by SIGTERM or SIGINT (without --foreground: it runs), 1 failed, 2 wrong usage.
+Exit status: 0 ended by SIGTERM or SIGINT (without --foreground: it runs),
+1 failed, 2 wrong usage.
 )";
 
 struct Arguments {
--- a/fleet/platform_host.cpp
+++ b/fleet/platform_host.cpp
@@ -52,13 +52,18 @@
           io_, part_->partners_file,
           [this](std::vector<Endpoint> list) { return server_ && server_->publish(std::move(list)); },
           [](const std::string& line) { heronvane::log(line); });
+      trouble_.clear();
       return;
     }
     PartnerList list = read_partners(part_->partners);
     if (!list.ok()) throw std::runtime_error("partners: " + list.trouble());
     if (!server_->publish(std::move(list.endpoints))) throw std::runtime_error("its index can't be kept");
+    trouble_.clear();
   } catch (const std::exception& e) {
-    if (trouble_ != e.what()) heronvane::log("platform: " + (trouble_ = e.what()));
+    std::string what = e.what();
+    if (what.starts_with("platform: ")) what.erase(0, sizeof "platform: " - 1);
+    if (trouble_ != what) heronvane::log("platform: " + what);
+    trouble_ = std::move(what);
     try_again();
   }
 }
@@ -73,6 +78,12 @@
 std::optional<PlatformView> PlatformHost::view() const {
   if (!part_) return {};
   PlatformView v;
+  v.listen = part_->listen;
+  v.trouble = trouble_;
+  const auto also = [&v](const std::string& what) {
+    if (!what.empty()) v.trouble += (v.trouble.empty() ? "" : "; ") + what;
+  };
+  if (file_ && !file_->trouble().empty()) also("partners: " + file_->trouble());
   if (!server_) return v;
   const PlatformStatus s = server_->status();
   v.listen = s.listen;
@@ -80,6 +91,7 @@
   v.endpoints = s.endpoints;
   v.watchers = s.watchers;
   v.finals = s.finals;
+  if (!s.finals_trouble.empty()) also("notices can't be stored, relays keep them: " + s.finals_trouble);
   return v;
 }
 
--- a/fleet/platform_host.hpp
+++ b/fleet/platform_host.hpp
@@ -37,7 +37,7 @@
   std::string listens_;  // where the server was told to
   std::unique_ptr<PlatformServer> server_;
   std::unique_ptr<PartnerFile> file_;
-  std::string trouble_;  // told once
+  std::string trouble_;  // why it does not stand; told once
   boost::asio::steady_timer again_;
 };
 
--- a/tests/cli/render_test.cpp
+++ b/tests/cli/render_test.cpp
@@ -85,7 +85,7 @@
 TEST(Render, Status) {
   StatusView v;
   v.agent.name = "web1", v.agent.generation = 12, v.agent.started_ms = kNow - 19'000'000;
-  v.agent.platform = Platform{"127.0.0.1:8500", 41, 12, 3, 17};
+  v.agent.platform = Platform{"127.0.0.1:8500", 41, 12, 3, 17, ""};
   v.instances = fleet();
   v.operation = restart("running");
   const auto text = render_status({{"", kTool, v}}, k80, kNow);
@@ -120,6 +120,45 @@
 )");
 }
 
+TEST(Render, OfAFirstApplyEachPartIsALineAndLaterChangesAreToldOneByOne) {
+  Operation o;
+  o.diff = {"+ n0",
+            "~ limits.disk_mb none -> 100",
+            "~ program none -> heronvane",
+            "~ settings.Tick none -> 5000",
+            "~ platform.partners[s-1].address none -> \"127.0.0.1:9001\"",
+            "~ platform.partners[s-1].group none -> 1",
+            "~ platform.partners[s-1].name none -> \"s-1\"",
+            "~ platform.partners[s-1].type none -> \"big\""};
+  EXPECT_EQ(render_diff({"", kTool, o}, k80), R"(+ n0
+~ limits.disk_mb none -> 100
+~ program none -> heronvane
+~ settings.Tick none -> 5000
+~ platform.partners: 4 values, as in the file
+)");
+  o.diff.erase(o.diff.begin() + 2);
+  EXPECT_NE(render_diff({"", kTool, o}, k80).find("~ platform.partners[s-1].group none -> 1\n"),
+            std::string::npos);
+}
+
+TEST(Render, StatusTellsWhatHindersThePlatform) {
+  StatusView v;
+  v.agent = read_agent(
+      R"({"name":"web1","platform":{"listen":"127.0.0.1:8500","endpoints":3,"trouble":"partners: p.json: broken"}})");
+  v.agent.started_ms = kNow - 61'000;
+  v.instances = {instance("n0", "ready", 1'000)};
+  const auto text = render_status({{"", kTool, v}}, k80, kNow);
+  fits(text);
+  EXPECT_EQ(text.substr(text.find("Platform")),
+            R"(Platform at 127.0.0.1:8500: 3 endpoints, 0 watchers, 0 notices
+
+Needs attention
+  the platform
+    partners: p.json: broken
+    next: mend that; it is tried again by itself
+)");
+}
+
 TEST(Render, EachPhaseThatNeedsIt) {
   const auto next = [](Instance i) {
     StatusView v;
@@ -141,7 +180,7 @@
   EXPECT_EQ(next(wanted), "");
   auto moved = instance("n", "ready", 1);
   moved.wanted_generation = 13;
-  EXPECT_EQ(next(moved), "heronvanectl restart n");
+  EXPECT_EQ(next(moved), "heronvanectl restart n; or take the change back: heronvanectl rollback");
   moved.operation = 7;  // which is about to
   EXPECT_EQ(next(moved), "");
 }
--- a/tests/fleet/agent_test.cpp
+++ b/tests/fleet/agent_test.cpp
@@ -117,7 +117,9 @@
   wait_for([&] { return agent_gone(&status); }, "the second ends");
   agent = first;
   EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 1);
-  EXPECT_NE(whole(folder + "/agent.log").find("another heronvane-agent has it"), std::string::npos);
+  EXPECT_NE(whole(folder + "/agent.log").find("another heronvane-agent has it, pid " + std::to_string(first)),
+            std::string::npos);
+  EXPECT_EQ(whole(data() + "/lock"), std::to_string(first) + "\n");
   EXPECT_EQ(get("/v1/agent").status, 200u);
 }
 
@@ -245,6 +247,37 @@
   wait_done(operate(R"({"kind":"restart","names":["n0"]})"));
 }
 
+// What hinders the platform stands in the agent's answer for as long as it lasts: its address is taken, its
+// list of partners is broken.
+TEST_F(AgentTest, WhatHindersThePlatformIsTold) {
+  const int holder = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof at;
+  ASSERT_EQ(::bind(holder, reinterpret_cast<const sockaddr*>(&at), size), 0);
+  ASSERT_EQ(::listen(holder, 1), 0);
+  ASSERT_EQ(::getsockname(holder, reinterpret_cast<sockaddr*>(&at), &size), 0);
+  const std::string listen = "127.0.0.1:" + std::to_string(ntohs(at.sin_port)),
+                    file = folder + "/partners.json";
+  std::ofstream(file) << R"({"endpoints":[{"name":"s-1","address":"127.0.0.1:9","group":7}]})";
+  start_agent();
+  const auto applied = post(
+      apply(fleet(1, R"(,"platform":{"listen":")" + listen + R"(","partners_file":")" + file + R"("})")));
+  ASSERT_EQ(applied.status, 202u) << applied.body;
+  const auto trouble = [this] {
+    const auto v = get("/v1/agent").json();
+    return v.IsObject() && v["platform"].IsObject() ? std::string(v["platform"]["trouble"].GetString())
+                                                    : "no answer";
+  };
+  wait_for([&] { return trouble().find("can't listen on " + listen) == 0; }, "its address is taken");
+  ::close(holder);
+  wait_for([&] { return trouble().empty(); }, "it stands");
+  std::ofstream(file) << "[";
+  wait_for([&] { return trouble().find("partners: " + file + ": line 1: ") == 0; }, "the list is broken");
+  std::ofstream(file) << R"({"endpoints":[]})";
+  wait_for([&] { return trouble().empty(); }, "the list is mended");
+}
+
 // The disk takes no more while the agent runs, and then does again.
 TEST_F(AgentTest, ADiskThatTakesNoMoreIsBorne) {
   start_agent();
