--- a/cli/demo.cpp
+++ b/cli/demo.cpp
@@ -322,12 +322,11 @@
   world_.fill(v, last_.instances, standins::steady_time());
   if (last_.agent.platform) v.totals.ended = static_cast<std::uint64_t>(last_.agent.platform->finals);
   v.happened.assign(happened_.begin(), happened_.end());
-  v.tries = {{tool_ + " --agent " + agent_.socket() + " status", ""},
-             {"or for status: show n0, drain n1, undrain n1, restart --rolling, history", ""}};
+  v.tries = {{"export HERONVANE_AGENT=" + agent_.socket(), "in another terminal"},
+             {tool_ + " status", "or: show n0, drain n1, restart --rolling"}};
   const auto& last = v.relays.back();
   if (last.pid > 0)
-    v.tries.push_back({"kill -9 " + std::to_string(last.pid),
-                       "in another terminal; " + last.name + " comes back, nothing is lost"});
+    v.tries.push_back({"kill -9 " + std::to_string(last.pid), last.name + " comes back, nothing is lost"});
   return v;
 }
 
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -1,7 +1,9 @@
 #include "options.hpp"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <sstream>
+#include <string_view>
 
 namespace heronvane::cli {
 
@@ -52,14 +54,16 @@
     reading();
   }
   Invocation take(int argc, const char* const* argv) {
-    // The flag stands alone, where CLI11 would ask for a command.
-    if (argc == 2 && std::string_view(argv[1]) == "--version") {
-      finish();
+    // The flag stands for a command, where CLI11 would ask for one.
+    if (std::any_of(argv, argv + argc,
+                    [](const char* word) { return std::string_view(word) == "--version"; }))
+      app_.require_subcommand(0, 1);
+    app_.parse(argc, argv);
+    finish();
+    if (version_flag_) {
       invocation_.command = Version{};
       return std::move(invocation_);
     }
-    app_.parse(argc, argv);
-    finish();
     make_();
     return std::move(invocation_);
   }
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -165,6 +165,13 @@
   const auto v = run_tool({"--version"}, {"HERONVANE_AGENT=" + folder.file("none.sock")});
   EXPECT_EQ(v.exit, 0);
   EXPECT_TRUE(has(v.out, "heronvanectl ") && has(v.out, "no agent at ")) << v.out;
+  // Of an agent that is named more is asked, but the tool's own version is told.
+  for (const auto& words : {std::vector<std::string>{"--agent", folder.file("none.sock"), "--version"},
+                            {"--version", "--agent", folder.file("none.sock")}}) {
+    const auto named = run_tool(words);
+    EXPECT_EQ(named.exit, 5);
+    EXPECT_TRUE(has(named.out, "heronvanectl ")) << named.out;
+  }
 }
 
 TEST_F(Commands, FindsItsAgentInTheEnvironment) {
