--- a/tests/demo/examples_test.cpp
+++ b/tests/demo/examples_test.cpp
@@ -9,6 +9,7 @@
 #include "fleet/fleet_file.hpp"
 #include "fleet/json.hpp"
 #include "fleet/partners.hpp"
+#include "relay/config.hpp"
 
 namespace heronvane {
 namespace {
@@ -30,6 +31,13 @@
   EXPECT_TRUE(fleet::read_partners(fleet.platform()->partners).ok());
 }
 
+TEST(ExamplesTest, TheConfigurationOfOneRelayIsTaken) {
+  const Config c = read_config(read("relay.example.json"));
+  EXPECT_EQ(c.name, "n0");
+  ASSERT_EQ(c.known.members.size(), 1u);
+  EXPECT_EQ(c.settings.classes.size(), 2u);
+}
+
 TEST(ExamplesTest, TheSettingsAreTheDefault) {
   EXPECT_EQ(fleet::to_text(fleet::parse_json(read("settings.example.json"))),
             fleet::to_text(fleet::parse_json(fleet::kDefaultSettings)));
--- a/tools/store/main.cpp
+++ b/tools/store/main.cpp
@@ -11,17 +11,21 @@
 namespace {
 
 constexpr const char* kHelp =
-    "heronvane-store: looks at the folder in which a relay keeps its messages (LB_STATE)\n"
+    "heronvane-store: looks at the folder in which a relay keeps its messages\n"
     "\n"
-    "  heronvane-store verify FOLDER             what is in its files, what is damaged or missing\n"
-    "  heronvane-store show FOLDER [ID] [--body] messages held, ids remembered, facts; with a message's id,\n"
-    "                                            or # and its number, all of it; its body only with --body\n"
-    "  heronvane-store export FOLDER             the same as lines of JSON, with bodies in Base64\n"
-    "  heronvane-store repair FOLDER COPY        writes all that can be read to COPY, a new or empty folder\n"
-    "  heronvane-store --help | --version\n"
+    "  verify FOLDER              what is in its files, what is damaged or missing\n"
+    "  show FOLDER [ID] [--body]  messages held, ids remembered, facts; with a\n"
+    "                             message's id, or # and its number, all of it; its\n"
+    "                             body only with --body\n"
+    "  export FOLDER              the same as lines of JSON, with bodies in Base64\n"
+    "  repair FOLDER COPY         writes all that can be read to COPY, a new or empty\n"
+    "                             folder\n"
+    "  --help, --version\n"
     "\n"
-    "FOLDER is never changed. No relay may have it meanwhile: end the relay, or look at a copy.\n"
-    "Exit status: 0 sound, 1 damaged, 2 wrong arguments or nothing done, 3 the folder is in use.\n";
+    "FOLDER (the relay's --state) is never changed. No relay may have it meanwhile:\n"
+    "end the relay, or look at a copy.\n"
+    "Exit status: 0 sound, 1 damaged, 2 wrong arguments or nothing done, 3 the folder\n"
+    "is in use.\n";
 
 int usage(const std::string& what) {
   std::cerr << "heronvane-store: " << what << "; see heronvane-store --help\n";
