heronvanectl: a failed apply names status before rollback

'not ready within 30 s' offered rollback alone; what is wrong (a platform's address taken, no partners file) stands in status, and the operator had to think of it.

--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -277,10 +277,9 @@
     }
     out += "\n" + table.text(style);
   }
+  if (o.state == "failed") out += "next: " + told.command + " status    (what is wrong now)\n";
   if (o.state == "failed" && o.kind == "apply")
-    out += "next: " + told.command + " rollback    (takes it back)\n";
-  else if (o.state == "failed")
-    out += "next: " + told.command + " status\n";
+    out += "      " + told.command + " rollback    (takes it back)\n";
   return out;
 }
 
