Agent: a process that is reaped while it is looked at does not end the agent

A file in /proc that was opened can't be read once its process is reaped (ESRCH); the stream's iterators throw that. The agent looks at all processes of its user at its start, to find its relays, and nothing there catches it: one that ended at the wrong moment ended the agent with status 1. Seen as a failure of a test beside others. Now such a file reads as empty. The same reading in the demonstration is mended, and heronvanectl apply FOLDER says that it is a directory.

--- a/cli/changing.cpp
+++ b/cli/changing.cpp
@@ -8,7 +8,7 @@
 #include <cerrno>
 #include <cstring>
 #include <fstream>
-#include <iterator>
+#include <sstream>
 
 #include "fleet_file.hpp"
 #include "run.hpp"
@@ -28,9 +28,11 @@
 std::string content(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   if (!in) throw std::runtime_error(std::strerror(errno));
-  std::string all{std::istreambuf_iterator<char>(in), {}};
-  if (in.bad()) throw std::runtime_error("can't be read");
-  return all;
+  errno = 0;
+  std::ostringstream all;
+  all << in.rdbuf();
+  if (errno != 0) throw std::runtime_error(std::strerror(errno));  // a folder can be opened, but not read
+  return all.str();
 }
 
 }  // namespace
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -16,7 +16,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
-#include <iterator>
+#include <sstream>
 
 namespace heronvane::fleet {
 
@@ -46,9 +46,13 @@
   int fd_;
 };
 
+// "" where it can't be read. A process may be reaped between the opening and the reading, which fails then: a
+// stream's iterators would throw that, its operator doesn't.
 std::string whole_file(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), {}};
+  std::ostringstream all;
+  all << in.rdbuf();
+  return all ? all.str() : "";
 }
 
 std::string proc(pid_t pid, const char* name) { return "/proc/" + std::to_string(pid) + "/" + name; }
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -183,6 +183,12 @@
   EXPECT_TRUE(has(r.err, folder.file("run") + "/heronvane/agent.sock")) << r.err;
 }
 
+TEST_F(Commands, AFolderIsNoFleetFile) {
+  const auto r = run_tool({"apply", "/"}, {"HERONVANE_AGENT=" + socket});
+  EXPECT_EQ(r.exit, 1);
+  EXPECT_TRUE(has(r.err, "heronvanectl: /: Is a directory\n")) << r.err;
+}
+
 TEST_F(Commands, NoAgentSaysHowToStartOne) {
   const auto r = run_tool({"--agent", folder.file("none.sock"), "status"});
   EXPECT_EQ(r.exit, 5);
--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -124,6 +124,18 @@
   EXPECT_FALSE(identify(-1));
 }
 
+// One that is reaped between the opening of its file in /proc and the reading used to end the agent.
+TEST_F(ProcessTest, OneThatEndsWhileItIsLookedAtIsNobody) {
+  for (int i = 0; i < 500; i++) {
+    const pid_t child = ::fork();
+    if (child == 0) ::_exit(0);
+    ASSERT_GT(child, 0);
+    std::jthread reaper([child] { ::waitpid(child, nullptr, 0); });
+    while (identify(child)) {
+    }
+  }
+}
+
 TEST_F(ProcessTest, TheEndOfAnotherOnesChildIsSeen) {
   pid_t pid = 0;
   ::prctl(PR_SET_CHILD_SUBREAPER, 0);
