Store: what is held stays within half of the memory, whatever the disk has room for

Cause: held messages were bounded by the disk's limit alone; with a large disk and a platform that takes no notices what is given up would have filled the memory.

Measured: 4 MB of memory hold some 180 messages of 10 KB; one that ends makes room for the next.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -45,6 +45,7 @@
   store::Options options;
   options.limit_bytes = c.disk_bytes;
   options.attempts_max = c.settings.attempts_max;
+  options.memory_bytes = c.memory_bytes;
   options.remembers = [&c](const Message& m) {
     const auto cls = c.names.classes.find(m.message_class);
     return cls == c.names.classes.end() ||
--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t kMostFact = 4096;  // bytes of a key with its value
+// Of a message held, beside its own bytes: its entries here, in the relay and in the module.
+constexpr std::uint64_t kHeldMemory = 1024;
 
 }  // namespace
 
@@ -39,10 +41,17 @@
   booked_.messages -= c.messages, booked_.later -= c.later, booked_.ids -= c.ids;
 }
 
+// Guards against a disk that has room for more than the memory has, while a platform that is down takes no
+// notices: what is given up is held until it does.
+bool Store::fits_memory(const Booked& c) const {
+  return options_.memory_bytes == 0 ||
+         booked_.messages + c.messages + (held().size() + 1) * kHeldMemory <= options_.memory_bytes / 2;
+}
+
 bool Store::admit(const Message& message) {
   if (troubled() || much_unsynced()) return false;
   const Booked c = cost(message);
-  if (!admits(room(), c) || !ensure_reserve(booked_.later + c.later)) return false;
+  if (!fits_memory(c) || !admits(room(), c) || !ensure_reserve(booked_.later + c.later)) return false;
   booked_.messages += c.messages, booked_.later += c.later, booked_.ids += c.ids;
   return true;
 }
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -47,8 +47,9 @@
 };
 
 struct Options {
-  std::uint64_t limit_bytes = 0;  // of all files, each counted in whole 512 bytes
-  int attempts_max = 8;           // for which room is set aside with each message
+  std::uint64_t limit_bytes = 0;   // of all files, each counted in whole 512 bytes
+  int attempts_max = 8;            // for which room is set aside with each message
+  std::uint64_t memory_bytes = 0;  // half of it may be taken by messages held; 0: no bound but the disk's
   Durability durability = Durability::process;
   Time remember_window = 10'000'000;  // an id is remembered so long past its message's deadline
   // Whether a message's id is to be remembered once it is over: where it must not run again.
@@ -196,6 +197,7 @@
   void lower_ceiling();
   Room room() const;
   Booked cost(const Message& message) const;
+  bool fits_memory(const Booked& cost) const;
   void unbook(const Booked& cost);
   const std::string& name_of(SegmentNumber number) const { return names_.at(number); }
 
--- a/tests/store/store_test.cpp
+++ b/tests/store/store_test.cpp
@@ -212,5 +212,29 @@
   }
 }
 
+// A disk with room for more than the memory has: messages that are given up and whose notices nobody takes
+// pile up only so far, and there is room again once they are over.
+TEST(Store, WhatIsHeldStaysWithinTheMemory) {
+  MemoryDisk disk;
+  Bench b(100'000'000);
+  auto options = b.options();
+  options.memory_bytes = 4'000'000;
+  Store s(disk, options);
+  std::uint64_t held = 0;
+  while (held < 1000) {
+    const auto m = message("m" + std::to_string(held), 10'000);
+    if (!s.admit(m)) break;
+    s.take(s.next_number(), m);
+    s.ending(s.next_number() - 1, {});
+    held++;
+  }
+  EXPECT_GT(held, 150u);
+  EXPECT_LT(held, 200u);
+  EXPECT_EQ(s.trouble(), "") << "that is load, not trouble";
+  s.over(1);
+  ASSERT_TRUE(s.commit());
+  EXPECT_TRUE(s.admit(message("next", 10'000)));
+}
+
 }  // namespace
 }  // namespace heronvane::store::testing
