Stand-ins: a try that was written once is no refusal; calls that came are told

A kept connection that broke is replaced and the try goes once more. Where the relay was killed in between, the second try could not connect, or was refused, and was counted as refused: the relay that took the first on and came back then seemed to run what it had refused. Such a try now ends as silence. Endpoints tell of each message that came whole and whether its answer proves that it will not run, so that a second call of one that must not run twice is seen though neither took effect.

--- a/standins/clients.cpp
+++ b/standins/clients.cpp
@@ -39,7 +39,8 @@
   Message message;
   Time until = 0;  // its deadline
   unsigned tries = 0;
-  bool again = false;  // handed in before, and refused
+  bool again = false;    // handed in before, and refused
+  bool unheard = false;  // written under this id once, and never answered
 };
 
 class Clients::Impl : public std::enable_shared_from_this<Impl> {
@@ -87,7 +88,7 @@
     timer_.async_wait([self = shared_from_this()](error_code bad) {
       // One that had come due as the answer before did is not this request's.
       if (bad || !self->job_ || self->timer_.expiry() > std::chrono::steady_clock::now()) return;
-      self->end(self->sent_ ? Heard::silence : Heard::no_relay);
+      self->end(Heard::no_relay);
     });
     sent_ = false;
     if (used_) return write();
@@ -131,6 +132,7 @@
   void broke() {
     if (!used_ || answer_->is_header_done() || buffer_.size() > 0) return end(Heard::silence);
     Job job = std::move(*job_);
+    job.unheard = true;
     const auto fresh = std::make_shared<Connection>(clients_, relay_);
     clients_->all_.push_back(fresh);
     close();
@@ -141,10 +143,12 @@
     const unsigned status = a.result_int();
     const Time latency = clients_->now() - begun_;
     const Time told = come_back(a["Retry-After"], clients_->options_.come_back);
+    Job job = std::move(*job_);
+    // A refusal of what may have been taken on before says nothing of that.
     const Heard heard = status == 200 || status == 202   ? Heard::taken
+                        : job.unheard                    ? Heard::silence
                         : status == 429 || status == 503 ? Heard::refused
                                                          : Heard::failed;
-    Job job = std::move(*job_);
     job_.reset();
     timer_.cancel();
     used_ = true;
@@ -156,6 +160,7 @@
   }
   void end(Heard heard) {
     Job job = std::move(*job_);
+    if (heard == Heard::no_relay && (sent_ || job.unheard)) heard = Heard::silence;
     close();
     clients_->ended(std::move(job), relay_, heard, clients_->now() - begun_, 0);
   }
--- a/standins/endpoint.cpp
+++ b/standins/endpoint.cpp
@@ -125,7 +125,11 @@
       ids_ = {std::string(request["X-Request-Id"])};
       if (ids_[0].empty() || request.count("X-Request-Id") != 1) return malformed(400);
     }
-    std::visit([this](const auto& f) { meet(f); }, e.behaviour_.call(e.now(), ids_.size()));
+    const Fate fate = e.behaviour_.call(e.now(), ids_.size());
+    if (const auto& told = e.options_.arrived)
+      for (const auto& id : ids_)
+        told(id, std::holds_alternative<fate::Refuse>(fate) || std::holds_alternative<fate::Wait>(fate));
+    std::visit([this](const auto& f) { meet(f); }, fate);
   }
   void malformed(unsigned status) {
     endpoint_->counts_.malformed++;
@@ -238,6 +242,7 @@
   acceptor_.close(ignored);
   for (const auto& s : sessions_)
     if (const auto session = s.lock()) session->close();
+  options_.arrived = nullptr;
   options_.ran = options_.answered = nullptr;
 }
 
--- a/standins/endpoint.hpp
+++ b/standins/endpoint.hpp
@@ -35,7 +35,9 @@
   std::function<Time()> now;  // never goes back; empty: the steady clock
   std::size_t bundle_max = 20;
   Time idle = 5'000'000;  // connections that stand silent so long are closed
-  // A message took effect; its 200 is written to a relay that still waits. May be empty.
+  // A message came whole; `refused`: its answer proves that it will not run. May be empty, as those below.
+  std::function<void(const std::string& id, bool refused)> arrived;
+  // A message took effect; its 200 is written to a relay that still waits.
   std::function<void(const std::string&id)> ran, answered;
 };
 
--- a/tests/standins/clients_test.cpp
+++ b/tests/standins/clients_test.cpp
@@ -204,6 +204,35 @@
   EXPECT_EQ(c.counts().silence, 0u);
 }
 
+// Over a kept connection a relay that is killed may have taken on what it did not answer.
+TEST_F(ClientsTest, OneThatEndsOnAKeptConnectionMayHaveTakenIt) {
+  FakeRelay* relay = nullptr;
+  FakeRelay dying(io, [&](const auto&) {
+    if (relay->got.size() == 1) return answer(202);
+    relay->shut();
+    return std::string();
+  });
+  relay = &dying;
+  Clients c(io, options({dying.address()}, 20));
+  c.start();
+  turn_until(
+      io, [&] { return dying.got.size() == 2; }, "it has ended");
+  c.stop();
+  turn_until(
+      io, [&] { return c.counts().out == 0; }, "nothing is out");
+  EXPECT_EQ(heard[Heard::silence], 1);
+}
+
+TEST_F(ClientsTest, ARefusalOfOneSentBeforeSaysNothingOfThat) {
+  int n = 0;
+  FakeRelay r(io, [&](const auto&) { return ++n == 1 ? answer(202) : n == 2 ? "" : answer(503); });
+  Clients c(io, options({r.address()}, 20));
+  c.start();
+  turn_until(
+      io, [&] { return n >= 3 && c.counts().silence + c.counts().refusals > 0; }, "it is answered");
+  EXPECT_EQ(c.counts().silence, 1u);
+}
+
 TEST_F(ClientsTest, AnotherAnswerIsAFailure) {
   FakeRelay r(io, [](const auto&) { return answer(404); });
   Clients c(io, options({r.address()}));
