Agent: a process that goes while /proc is read no longer ends the agent

Stream iterators over a file throw where read() fails, and /proc/PID/stat and cmdline fail with ESRCH where the process is reaped between open and read. The agent looks through all processes of the machine when it starts and at single ones when it adopts or opens them, so any short-lived process could end it with an uncaught exception (terminate). Files are read by read() of the stream, which only marks the failure; the demonstration's search for leftovers too.

--- a/cli/demo_agent.cpp
+++ b/cli/demo_agent.cpp
@@ -15,8 +15,8 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <iterator>
 #include <random>
+#include <sstream>
 #include <system_error>
 
 #include "session.hpp"
@@ -150,7 +150,10 @@
       if (!std::all_of(name.begin(), name.end(), [](unsigned char c) { return std::isdigit(c) != 0; }))
         continue;
       std::ifstream in(entry.path() / "cmdline", std::ios::binary);
-      const std::string words{std::istreambuf_iterator<char>(in), {}};
+      // Not by stream iterators: they throw where a process has ended between open and read.
+      std::ostringstream all;
+      all << in.rdbuf();
+      const std::string words = all.str();
       const auto pid = static_cast<pid_t>(std::atol(name.c_str()));
       // Only what the agent started, not an operator's own tool or editor.
       const auto program = std::filesystem::path(words.c_str()).filename();
--- a/fleet/process.cpp
+++ b/fleet/process.cpp
@@ -16,7 +16,6 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
-#include <iterator>
 
 namespace heronvane::fleet {
 
@@ -46,9 +45,14 @@
   int fd_;
 };
 
+// Not by stream iterators: they throw where a process has ended between open and read.
 std::string whole_file(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), {}};
+  std::string all;
+  char piece[4096];
+  while (in.read(piece, sizeof piece) || in.gcount() > 0)
+    all.append(piece, static_cast<std::size_t>(in.gcount()));
+  return all;
 }
 
 std::string proc(pid_t pid, const char* name) { return "/proc/" + std::to_string(pid) + "/" + name; }
--- a/tests/fleet/process_test.cpp
+++ b/tests/fleet/process_test.cpp
@@ -59,6 +59,19 @@
   std::string folder;
 };
 
+// Between open and read of its files the process may go for good.
+TEST_F(ProcessTest, OneThatGoesWhileItIsLookedAtIsNobody) {
+  for (int turn = 0; turn < 400; turn++) {
+    const pid_t pid = ::fork();
+    ASSERT_GE(pid, 0);
+    if (pid == 0) ::_exit(0);
+    std::thread reaper([pid] { ::waitpid(pid, nullptr, 0); });
+    while (identify(pid)) argument_of(pid, "--run");
+    while (::kill(pid, 0) == 0) identify(pid), argument_of(pid, "--run");
+    reaper.join();
+  }
+}
+
 TEST_F(ProcessTest, ItsEndIsToldWithStatusOrSignal) {
   EXPECT_EQ(run("exit 7").status, 7);
   const auto killed = run("kill -9 $$");
