--- a/tests/fleet_rig/fleet_rig_test.cpp
+++ b/tests/fleet_rig/fleet_rig_test.cpp
@@ -21,6 +21,12 @@
 
   // The operation while half of the relays are struck.
   void operate_struck(const std::vector<std::string>& words, Ms span, std::size_t starts_each) {
+    wait_for(
+        [&] {
+          books_.notices(machine_->notices());
+          return books_.open() >= 2 * static_cast<std::uint64_t>(count_);
+        },
+        "relays hold messages");
     const auto before = starts();
     Attacks attacks(machine_->sampler(), names(), span, random_());
     const Ms took = operate(words);
