The fleet's rig: a sanitized relay's search for leaks is no second relay

Under the address sanitizer a process that ends looks for leaks from a child that shares its command line; the rig told it as a second relay on the state folder, and as a start without a cause. A process whose parent is the relay of the same instance is passed over.

--- a/tests/fleet_rig/processes.cpp
+++ b/tests/fleet_rig/processes.cpp
@@ -26,20 +26,23 @@
   return all;
 }
 
-// Field 22 of /proc/PID/stat; 0 where it is none, or has ended.
-std::uint64_t start_time(pid_t pid) {
+// A field past the second of /proc/PID/stat; 0 where it is none, or has ended.
+std::uint64_t stat_of(pid_t pid, int number) {
   const std::string stat = whole("/proc/" + std::to_string(pid) + "/stat");
   const auto name_end = stat.rfind(')');
   if (name_end == std::string::npos || name_end + 2 >= stat.size()) return 0;
   if (stat[name_end + 2] == 'Z' || stat[name_end + 2] == 'X') return 0;
   std::size_t at = name_end + 2;
-  for (int field = 3; field < 22 && at != std::string::npos; field++) {
+  for (int field = 3; field < number && at != std::string::npos; field++) {
     at = stat.find(' ', at);
     if (at != std::string::npos) at++;
   }
   return at == std::string::npos ? 0 : std::strtoull(stat.c_str() + at, nullptr, 10);
 }
 
+std::uint64_t start_time(pid_t pid) { return stat_of(pid, 22); }
+pid_t parent_of(pid_t pid) { return static_cast<pid_t>(stat_of(pid, 4)); }
+
 }  // namespace
 
 Handle::~Handle() {
@@ -78,6 +81,9 @@
   if (to == std::string::npos) return std::nullopt;
   const auto start = start_time(pid);
   if (start == 0) return std::nullopt;
+  // Under the address sanitizer a relay that ends looks for leaks from a child of its own: no second relay.
+  const std::string parent = whole("/proc/" + std::to_string(parent_of(pid)) + "/cmdline");
+  if (parent.find(before + words.substr(from, to - from) + '/') != std::string::npos) return std::nullopt;
   return std::pair(words.substr(from, to - from), start);
 }
 
