Agent: a state folder that can't be looked at is not gone; utf8 is wire's

Cause: any failure of stat() passed for a folder that is gone, and ended its relay; fleet and cli included a header of the relay's core.

--- a/cli/session.cpp
+++ b/cli/session.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 
 #include "overlap.hpp"
-#include "relay/core/utf8.hpp"
+#include "wire/utf8.hpp"
 
 namespace heronvane::cli {
 
--- a/fleet/instance_folder.cpp
+++ b/fleet/instance_folder.cpp
@@ -94,7 +94,10 @@
 
 bool InstanceFolder::has_state() const {
   struct stat about {};
-  return ::stat(state().c_str(), &about) == 0 && S_ISDIR(about.st_mode);
+  if (::stat(state().c_str(), &about) == 0) return S_ISDIR(about.st_mode);
+  // Guards against ending a relay that is well because a disk did not answer: only these tell that it is
+  // gone.
+  return errno != ENOENT && errno != ENOTDIR;
 }
 
 std::optional<OperationId> InstanceFolder::drained(const std::string& run) const {
--- a/fleet/instance_folder.hpp
+++ b/fleet/instance_folder.hpp
@@ -22,6 +22,7 @@
   void write_config(const Fleet& fleet, Generation generation) const;
   // Throws std::exception where they can't be made.
   void make() const;
+  // Whether the state folder is there, as far as can be told: false only where it is known to be gone.
   bool has_state() const;
   // The fence in the state folder's file `drained`, where it names this run.
   std::optional<OperationId> drained(const std::string& run) const;
--- a/fleet/json.hpp
+++ b/fleet/json.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/utf8.hpp"
+#include "wire/utf8.hpp"
 
 namespace heronvane::fleet {
 
--- a/relay/core/status.cpp
+++ b/relay/core/status.cpp
@@ -5,7 +5,7 @@
 
 #include <cmath>
 
-#include "core/utf8.hpp"
+#include "wire/utf8.hpp"
 
 namespace heronvane {
 namespace {
--- a/tests/fleet/fleet_file_test.cpp
+++ b/tests/fleet/fleet_file_test.cpp
@@ -2,8 +2,12 @@
 #include "fleet_file.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
 
 #include "config.hpp"
+#include "instance_folder.hpp"
 #include "json.hpp"
 #include "operator_settings.hpp"
 
@@ -99,5 +103,22 @@
   EXPECT_EQ(printable("\xff\xc0\x80x\xed\xa0\x80\xe2\x82"), "???x?????");
 }
 
+// A folder that can't be looked at is not gone: the relay in it would be ended for a disk that did not
+// answer.
+TEST(InstanceFolderTest, OnlyWhatIsKnownToBeGoneIsGone) {
+  namespace fs = std::filesystem;
+  const std::string data = (fs::temp_directory_path() / ("folder-" + std::to_string(::getpid()))).string();
+  const InstanceFolder folder(data, "n0");
+  EXPECT_FALSE(folder.has_state());
+  fs::create_directories(data + "/instances");
+  folder.make();
+  EXPECT_TRUE(folder.has_state());
+  fs::remove_all(folder.state());
+  EXPECT_FALSE(folder.has_state());
+  fs::create_symlink("state", folder.state());  // to itself: ELOOP
+  EXPECT_TRUE(folder.has_state());
+  fs::remove_all(data);
+}
+
 }  // namespace
 }  // namespace heronvane::fleet::testing
