--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -13,9 +13,17 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <queue>
 #include <random>
 #include <set>
 #include <stdexcept>
+#include <tuple>
+#include <unordered_map>
+
+#include "rates.hpp"
+#include "state.hpp"
+#include "waiting.hpp"
+#include "worth.hpp"
 
 namespace cedarplank {
 namespace {
@@ -28,10 +36,8 @@
 constexpr double kFactor = 0.2, kJitter = 0.25;
 constexpr double kAgingHalfLife = 20;  // units: an unused D halves in this time
 // Pace.
-constexpr double kRateMemory = 4;   // memory of served-rate estimates
-constexpr double kLongMemory = 30;  // and of what a relay asks of an endpoint, calls a minute
-constexpr double kPaceCut = 0.85;   // on a further refusal
-constexpr double kCutGap = 0.3;     // refusals closer than this are one event
+constexpr double kPaceCut = 0.85;                       // on a further refusal
+constexpr double kCutGap = 0.3;                         // refusals closer than this are one event
 constexpr double kAgainFirst = 0.25, kAgainGain = 0.1;  // share served after a refusal: assumed; weight
 constexpr double kPaceRaise = 0.15;                     // growth a second while calls are served
 constexpr double kPaceStep = 0.25;                      // and calls in a shortest aim, a second, on top
@@ -69,8 +75,7 @@
 constexpr double kSafeTimeoutAims = 2.5;  // least time-out of repeatable messages, in aims
 constexpr double kUnsafeTimeoutAims = 5;  // and of the others, which a time-out loses
 constexpr double kLatencyGain = 0.2, kUsualGain = 0.02, kSlownessGain = 0.1;  // weights of the newest answer
-constexpr double kMostSlow = 20;        // one answer counts as no more usual latencies than this
-constexpr double kFirstLatency = 0.25;  // assumed before the first answer
+constexpr double kMostSlow = 20;  // one answer counts as no more usual latencies than this
 // Connections.
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
 constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
@@ -85,130 +90,14 @@
 constexpr double kMootPace = 100;   // calls a second and slot that are never made: bounds nothing
 
 const std::string kNoteRefused = "1r";  // a note between relays: its version, its kind, then the endpoint
-constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
-constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
-double seconds(Time t) { return static_cast<double>(t) * 1e-6; }
 Time micros(double s) { return s > 1e9 ? kNever : static_cast<Time>(s * 1e6); }
 
-// Calls a second, forgetting old ones.
-class Rate {
- public:
-  explicit Rate(double memory = kRateMemory) : memory_(memory) {}
-  void start(Time now) { first_ = last_ = now; }  // else with the first call
-  void add(Time now) { decay(now), sum_ += 1; }
-  double at(Time now) {
-    if (first_ < 0) return 0;
-    decay(now);
-    const double seen = 1 - std::exp(-(seconds(now - first_) + 1) / memory_);
-    return sum_ / memory_ / seen;
-  }
-
- private:
-  void decay(Time now) {
-    if (first_ < 0) first_ = last_ = now;
-    sum_ *= std::exp(-seconds(now - last_) / memory_);
-    last_ = now;
-  }
-  double memory_, sum_ = 0;
-  Time first_ = -1, last_ = 0;
-};
-
-struct Target {              // what shares one limit: a destination, or a route apart
-  double delay = 0;          // D, in seconds; 0: no failure remembered
-  Time delay_at = 0;         // when D last changed (a round counts as one failure)
-  double pace = kUnbounded;  // calls a second of this relay
-  double tokens = 1;
-  Time tokens_at = 0, cut_at = -kNever, raise_at = 0;
-  Time wait_until = 0;  // told wait
-  Rate served;
-  int refusals = 0;  // since the last serve
-  std::size_t kind = 0;
-  double let_through = 1;  // share of attempts let through after refusals that this relay or others met
-  Time let_at = -kNever, told_at = -kNever, hold_until = 0;
-  Time refused_from = 0;
-  bool heard = false;        // a call ended in this life
-  Time recalled = -kNever;   // when the record that counts was written, in an earlier one
-  Time due = kNever;         // when changes are to be given out; its place in `dirty`
-  Time looked_at = -kNever;  // and when they were last looked for
-  bool given_known = false;  // what was given of one of them may be more than blank
-};
-
-struct Given {  // what a store holds of an endpoint
-  bool known = false;
-  Time at = -kNever;
-  Health health = Health::open;
-  Time since = 0, wait_until = 0;
-  double delay = 0, pace = 0, let_through = 1;
-  int refusals = 0;
-};
-
-struct Due {  // names its target by id: endpoints come and go
-  Time at = 0;
-  bool apart = false;
-  DestinationId destination = 0;
-  EndpointId endpoint;
-  auto operator<=>(const Due&) const = default;
-};
-
-struct EndpointState {
-  Endpoint info;
-  Target own;  // used where routes are apart
-  bool apart = false;
-  int bundle_max = 1, bundle = 1;   // messages in a call: at most, and as trusted now
-  std::set<std::uint64_t> calls;    // out, oldest first
-  double latency = kFirstLatency;   // recent, stretched by calls without an answer
-  double usual = 0;                 // long-run latency of the served ones
-  Rate served, asked{kLongMemory};  // calls served; first tries while open
-  double fail_share = 0;
-  int fail_run = 0;                     // failed calls since the last serve
-  int strays = 0;                       // resets and errors among them
-  Time served_at = 0, served_sent = 0;  // last serve, and the newest send among those served
-  bool doubt_run = false;               // the last failure may have run
-  bool idle_closed = false;             // idle connections were dropped in this spell
-  double use_gap = 0;                   // between calls, in the mean
-  Time used_at = -kNever;               // last time a call began or ended
-  Health health = Health::open;
-  double usual_rate = 0;  // served calls a second before the trouble
-  Time since = 0;         // of the present health
-  double budget = 0;      // calls allowed while closed or in the ramp
-  Time budget_at = 0, next_trial = 0;
-  int call_cap = 0;  // calls out at which connects failed; 0: unknown
-  Time capped_at = 0;
-  std::uint64_t open_call = 0;           // call begun in this round, for bundling
-  bool heard = false, recalled = false;  // a call ended in this life; a record of an earlier one was taken
-  Given given;
-};
-
-struct DestinationState {
-  Target target;  // used where endpoints share a limit
-  std::vector<EndpointState*> endpoints;
-};
-
-struct Call {
-  EndpointState* endpoint = nullptr;
-  Time sent = 0;
-  int messages = 0, left = 0;  // taken along; without an outcome yet
-  bool judged = false;         // its fate was counted
-};
-
-struct Message {
-  MessageId id = 0;
-  const ClassSettings* cls = nullptr;
-  DestinationId destination = 0;
-  double worth = 0;
-  Time aim = 0, deadline = 0, ready = 0;
-  std::string key;
-  int sends = 0, gave_up = -1;       // attempts made; the last one that was cancelled
-  std::map<int, std::uint64_t> out;  // attempt to call
-  std::optional<int> may_ran_zone;   // where the first attempt that may have run was made
-  Time may_ran_sent = 0;
-  bool over = false;
-};
-
-struct KeyLine {
-  std::deque<MessageId> line;
-  Time rest_until = 0;
+struct Gate {           // what kept a message from being sent
+  Time when = kNever;   // nothing changes before, but by what happens at its destination
+  bool own = false;     // others that wait there may pass
+  bool trial = false;   // for want of a trial call
+  bool chance = false;  // drawn anew in the next round
 };
 
 }  // namespace
@@ -220,11 +109,18 @@
   std::vector<Action>* out = nullptr;
   std::map<EndpointId, EndpointState> endpoints;
   std::map<DestinationId, DestinationState> destinations;
-  std::map<MessageId, Message> messages;
+  std::unordered_map<MessageId, Message> messages;
+  std::size_t live = 0;                         // of them, those that are not over
+  Waiting waiting;                              // those that are ready to go
+  std::set<std::pair<Time, MessageId>> agenda;  // when time alone changes something for a message
+  std::vector<MessageId> touched;
   std::map<std::string, KeyLine> keys;
   std::deque<std::pair<Time, std::string>> resting;  // keys after an attempt in doubt, soonest rested first
   bool list_changed = false;
-  std::map<std::uint64_t, Call> calls;
+  std::set<EndpointId> gone;     // from the list, and still kept
+  std::set<DestinationId> bare;  // perhaps without endpoints
+  std::unordered_map<std::uint64_t, Call> calls;
+  std::size_t trials_out = 0;  // calls out to endpoints on trial
   std::uint64_t next_call = 1;
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
@@ -235,19 +131,32 @@
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
-  std::set<EndpointId> ended_at;                           // endpoints at which a call ended in this round
-  std::set<Due> dirty;                                     // targets with changes to give out, soonest first
+  std::vector<EndpointState*> begun, warmed;  // in this round: with calls for many; no more on trial
+  std::set<EndpointId> ended_at;              // endpoints at which a call ended in this round
+  std::set<Due> dirty;                        // targets with changes to give out, soonest first
   std::deque<std::pair<EndpointId, DestinationId>> swept;  // since they were given as known
 
-  State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
-    shortest_aim = seconds(set.classes[0].aim);
-    for (const auto& c : set.classes) shortest_aim = std::min(shortest_aim, seconds(c.aim));
+  State(const Settings& s, std::uint64_t seed) : set(s), random(seed), waiting(groups_of(s)) {
+    shortest_aim = shortest_aim_of(s);
     unit = kUnitOfAim * shortest_aim;
     for (const auto& t : set.tenants) share_tokens.push_back(burst_of(t));
     after_refusal.assign(set.kinds.size() + 1, kAgainFirst);
     share_at.assign(set.tenants.size(), 0);
   }
 
+  static double shortest_aim_of(const Settings& s) {
+    double shortest = seconds(s.classes[0].aim);
+    for (const auto& c : s.classes) shortest = std::min(shortest, seconds(c.aim));
+    return shortest;
+  }
+  // Messages of one class, within their tenant's share and beyond it, keep their order for long.
+  static std::vector<std::vector<Phase>> groups_of(const Settings& s) {
+    std::vector<std::vector<Phase>> groups;
+    for (const auto& c : s.classes)
+      groups.resize(groups.size() + 2, worth_phases(c, s.decay, micros(shortest_aim_of(s))));
+    return groups;
+  }
+
   double uniform() { return static_cast<double>(random() >> 11) * 0x1.0p-53; }
   double ramp_share() const { return set.relays > kFewRelays ? kRampShareMany : kRampShare; }
   double jittered(double d) { return d * (1 + kJitter * (2 * uniform() - 1)); }
@@ -255,7 +164,12 @@
   void log(const std::string& text) { out->push_back(action::Log{text}); }
   void wake_by(Time t) { wake = std::min(wake, std::max(t, now + set.tick)); }
 
-  Target& target_of(EndpointState& e) { return e.apart ? e.own : destinations[e.info.destination].target; }
+  DestinationState& destination_of(DestinationId id) {
+    const auto [it, fresh] = destinations.try_emplace(id);
+    if (fresh) bare.insert(id);
+    return it->second;
+  }
+  Target& target_of(EndpointState& e) { return e.apart ? e.own : destination_of(e.info.destination).target; }
 
   // ---- The LIMD delay: fixed step up on failure, factor down on success, aged when unused. ----
   double delay_now(const Target& t) const {
@@ -288,7 +202,7 @@
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
     const double least = least_pace(t), recent = std::max(t.served.at(now), least);
-    if (t.pace == kUnbounded) t.tokens = 0;
+    if (t.pace == kUnbounded) t.tokens = 0;  // what was saved up since the last call is lost with a cut
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
     t.cut_at = t.raise_at = t.tokens_at = now;
   }
@@ -330,23 +244,34 @@
   }
   void pace_raise(Target& t) {
     const double dt = std::min(seconds(now - t.raise_at), std::max(1.0, 2 / t.pace));
-    if (t.pace != kUnbounded) t.pace += dt * (kPaceRaise * t.pace + kPaceStep / shortest_aim);
+    if (t.pace != kUnbounded) save_tokens(t), t.pace += dt * (kPaceRaise * t.pace + kPaceStep / shortest_aim);
     t.raise_at = now;
   }
-  Time pace_ready(Target& t) {
-    if (t.pace == kUnbounded) return now;
+  // Before the pace changes, or a token goes. Looking at pace and budget writes nothing: when a message may
+  // go does not hang on how often it was tried before.
+  void save_tokens(Target& t) {
     t.tokens = std::min(t.tokens + t.pace * seconds(now - t.tokens_at), std::max(1.0, t.pace * kBurst));
     t.tokens_at = now;
-    return t.tokens >= 1 ? now : now + micros((1 - t.tokens) / t.pace) + 1;
+  }
+  Time pace_ready(const Target& t) const {
+    if (t.pace == kUnbounded || t.tokens >= 1) return t.tokens_at;
+    return t.tokens_at + micros((1 - t.tokens) / t.pace) + 1;
   }
 
   // ---- Health: one ladder for every symptom. ----
   int overdue(const EndpointState& e) const {
     const Time late = micros(kOverdueTimes * e.latency + kOverdueMore);
-    int n = 0;
+    const auto sent_before = [](const OutCall& c, Time t) { return c.sent < t; };
     // Only calls sent since the last serve: one lost among many answered is no sign of silence.
-    for (auto id : e.calls) n += now - calls.at(id).sent > late && calls.at(id).sent >= e.served_at;
-    return n;
+    const auto from = std::lower_bound(e.calls.begin(), e.calls.end(), e.served_at, sent_before);
+    const auto to = std::lower_bound(from, e.calls.end(), now - late, sent_before);
+    return static_cast<int>(to - from);
+  }
+  // After each change of its health, its run of failures or its calls.
+  void count_trials(EndpointState& e) {
+    trials_out -= e.trials;
+    e.trials = on_trial(e) ? e.calls.size() : 0;
+    trials_out += e.trials;
   }
   void close(EndpointState& e, const char* why) {
     if (e.health == Health::open) {
@@ -354,10 +279,12 @@
       e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(),
       e.budget_at = now;
     }
+    save_budget(e);
     if (e.health != Health::closed) log("closed " + e.info.id + ": " + why), give_by(e, now);
     e.health = Health::closed;
     e.since = now;
     e.next_trial = now + trial_gap(e);
+    count_trials(e);
   }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
@@ -366,36 +293,42 @@
   // tries, of what the endpoint stands for sure. No floor: with hundreds of relays that each see a call a
   // minute, floors of one call each would push it over. What is known of an outage ages out.
   Time health_span() const { return std::max(set.cold, micros(shortest_aim)); }
-  double ramp_rate(const EndpointState& e) const {
-    double warm = set.cold_from;
-    if (e.health == Health::ramp)
-      warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(health_span());
-    const double times = set.fall_multiple * ramp_share() * std::min(warm, 1.0);
+  Growth growth(const EndpointState& e) const {
+    const double usual = std::max(e.usual_rate, 1e-9);
     // Not served since: perhaps it returned only now, so no more than was asked of it before, backlog or not.
-    return e.usual_rate * (on_trial(e) ? std::min(times, 1.0) : times);
+    const double most = on_trial(e) ? usual : kUnbounded, full = usual * set.fall_multiple * ramp_share();
+    if (e.health != Health::ramp) return Growth(full, most, set.cold_from, 0);
+    const double rise = (1 - set.cold_from) / seconds(health_span());
+    return Growth(full, most, std::min(1.0, set.cold_from + rise * seconds(e.budget_at - e.since)), rise);
+  }
+  double budget_now(const EndpointState& e) const {
+    return std::min(1.0, e.budget + growth(e).after(seconds(now - e.budget_at)));
+  }
+  void save_budget(EndpointState& e) {  // before anything changes that its growth hangs on
+    if (e.health != Health::open) e.budget = budget_now(e), e.budget_at = now;
   }
   Time budget_ready(EndpointState& e) {
     if (e.health == Health::open) return now;
     if (now >= e.since + health_span()) {
+      save_budget(e);
       // The ramp comes after trials too that the budget never allowed: held messages must not go all at once.
       const bool warm = e.health == Health::ramp;
       e.health = warm ? Health::open : Health::ramp, e.since = now;
-      if (warm) e.fail_run = 0, e.fail_share = 0;
+      // A trial call that this frees is for the next round: which message comes first was settled without it.
+      if (warm) e.fail_run = 0, e.fail_share = 0, warmed.push_back(&e);
       log((warm ? "warm " : "forgotten ") + e.info.id);
       give_by(e, now);
       if (warm) return now;
     }
-    const Time end = e.since + health_span();
-    const double rate = ramp_rate(e);
-    e.budget = std::min(1.0, e.budget + rate * seconds(now - e.budget_at));
-    e.budget_at = now;
-    const Time ready =
-        e.budget >= 1 ? now : std::min(end, now + micros((1 - e.budget) / std::max(rate, 1e-9)) + 1);
+    Time ready = e.budget_at;
+    if (e.budget < 1)
+      ready = std::min(e.since + health_span(), e.budget_at + micros(growth(e).until(1 - e.budget)) + 1);
     return e.health == Health::closed ? std::max(ready, e.next_trial) : ready;
   }
 
   void call_served(EndpointState& e, Time sent, Time latency) {
     Target& t = target_of(e);
+    save_budget(e);
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
     learn_refusal(t, 1);
@@ -421,6 +354,7 @@
   }
   void call_refused(EndpointState& e) {
     Target& t = target_of(e);
+    save_budget(e);
     delay_up(t);
     learn_refusal(t, 0);
     if (t.refusals++ == 0) t.refused_from = now;
@@ -431,8 +365,9 @@
     if (!shut && e.health == Health::open) return;
     e.fail_run = std::max(e.fail_run, 1);
     if (e.apart) return shut || e.health == Health::closed ? close(e, "refuses all") : void();
-    for (auto* other : destinations[e.info.destination].endpoints)
-      if (shut || other->health == Health::closed) other->fail_run++, close(*other, "refuses all");
+    for (auto* other : destination_of(e.info.destination).endpoints)
+      if (shut || other->health == Health::closed)
+        save_budget(*other), other->fail_run++, close(*other, "refuses all");
   }
   // Where this relay calls seldom, fewer signs must do, else each relay's would come too late.
   int signs_needed(EndpointState& e) const {
@@ -446,6 +381,7 @@
   }
   void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
+    save_budget(e);
     if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() && overdue(e) == 0 &&
         e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
@@ -528,7 +464,7 @@
     // A ramp that is over is noticed with the next message only.
     if (e.health == Health::open || (e.health == Health::ramp && now >= e.since + health_span())) return m;
     m.health = e.health, m.health_age = now - e.since, m.usual_rate = e.usual_rate;
-    m.budget = std::clamp(e.budget + ramp_rate(e) * seconds(now - e.budget_at), 0.0, 1.0);
+    m.budget = std::clamp(budget_now(e), 0.0, 1.0);
     m.fail_run = e.fail_run, m.fail_share = e.fail_share, m.doubt = e.doubt_run, m.bundle = e.bundle;
     return m;
   }
@@ -649,11 +585,13 @@
       e.since = m.health == Health::ramp ? written - health_age
                                          : now - std::max<Time>(0, health_age - micros(kGiveGap));
       // No more than it could have grown to, and spread as in close().
-      const double grown = within(0.0, m.budget, 1.0) + ramp_rate(e) * seconds(age);
-      e.budget = std::min(uniform(), grown), e.budget_at = now;
+      e.budget = within(0.0, m.budget, 1.0), e.budget_at = written;
+      e.budget = std::min(uniform(), budget_now(e)), e.budget_at = now;
       e.next_trial = now + trial_gap(e);
       log("recalled " + e.info.id);
     }
+    count_trials(e);
+    waiting.news(e.info.destination);
     e.given.known = t.given_known = true;  // the store holds it
     give_by(e, now);
   }
@@ -663,14 +601,22 @@
     list_changed = true;
     auto [it, fresh] = endpoints.try_emplace(info.id);
     EndpointState& e = it->second;
+    const DestinationId from = fresh ? info.destination : e.info.destination;
     e.info = info;
+    info.listing == Listing::gone ? void(gone.insert(info.id)) : void(gone.erase(info.id));
+    waiting.news(info.destination);
     const auto place = std::min(static_cast<std::size_t>(std::max(info.kind, 0)), set.kinds.size());
     const KindSettings kind = place < set.kinds.size() ? set.kinds[place] : KindSettings{};
-    e.own.kind = destinations[info.destination].target.kind = place;
+    e.own.kind = destination_of(info.destination).target.kind = place;
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
     if (fresh) e.bundle = e.bundle_max, e.use_gap = set.relays, e.asked.start(now);
+    auto& siblings = destinations.at(info.destination).endpoints;
+    if (from != info.destination) {
+      std::erase(destinations.at(from).endpoints, &e);
+      bare.insert(from);
+      siblings.push_back(&e);
+    }
     if (!fresh) return;
-    auto& siblings = destinations[info.destination].endpoints;
     // A new endpoint of a destination that is out or returning is no way around its siblings' state.
     const EndpointState* model = nullptr;
     for (const auto* other : siblings)
@@ -686,6 +632,8 @@
     for (auto& [id, e] : endpoints) e.info.listing = Listing::gone;
     list_changed = true;
     for (const auto& info : ev.endpoints) take(info);
+    for (auto& [id, e] : endpoints)
+      if (e.info.listing == Listing::gone) gone.insert(id);
     if (!ev.cached)
       subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
     else if (set.subscribe)
@@ -707,25 +655,25 @@
   }
 
   // ---- Messages. ----
-  double value(const Message& m, Time t) const {
-    if (t >= m.deadline) return 0;
-    if (t <= m.aim) return m.worth;
-    const double late = m.cls->late_worth, past = seconds(t - m.aim);
-    if (set.decay == Decay::halves) return m.worth * std::max(late, std::exp2(-past / seconds(m.cls->aim)));
-    return m.worth * (1 - (1 - late) * past / std::max(1e-6, seconds(m.deadline - m.aim)));
-  }
+  double value(const Message& m, Time t) const { return m.worth * worth_left(*m.cls, set.decay, t - m.aim); }
   // What waiting one more short aim would lose, and a little for what is there to win.
   double urgency(const Message& m, Time answer) const {
     const double v = value(m, answer);
     return v - value(m, answer + micros(shortest_aim)) + 0.1 * v;
   }
   void on(const event::Arrival& ev) {
-    Message& m = messages[ev.id];
+    const auto [it, fresh] = messages.try_emplace(ev.id);
+    Message& m = it->second;
+    live += fresh;
+    waiting.remove(m);
+    touch(m, ev.id);
     m.id = ev.id, m.destination = ev.destination, m.key = ev.order_key;
     m.cls = &set.classes[static_cast<std::size_t>(ev.message_class)];
     m.deadline = now + ev.time_left, m.ready = now;
     m.aim = m.deadline - m.cls->deadline + m.cls->aim;
-    m.worth = m.cls->worth * share_left(ev.tenant);
+    const double share = share_left(ev.tenant);
+    m.worth = m.cls->worth * share;
+    m.group = 2 * static_cast<std::size_t>(ev.message_class) + (share != 1);
     if (!m.cls->ordered) m.key.clear();
     if (!m.key.empty()) keys[m.key].line.push_back(m.id);
   }
@@ -761,21 +709,29 @@
   }
   void finish(Message& m, bool again) {
     if (m.over) return;
-    m.over = true;
+    end(m);
     if (again && may_refuse(m))
       out->push_back(action::Refuse{m.id, micros(unit * kInitial)});
     else
       out->push_back(action::Fail{m.id});
   }
+  void end(Message& m) {
+    live -= !m.over;
+    m.over = true;
+    waiting.remove(m);
+    touch(m, m.id);
+  }
   // Forgets a message that is over and has nothing out, and lets the next of its key step up.
-  void forget(std::map<MessageId, Message>::iterator it) {
+  void forget(std::unordered_map<MessageId, Message>::iterator it) {
     Message& m = it->second;
     if (!m.over || !m.out.empty()) return;
     if (!m.key.empty()) {
       auto& line = keys[m.key].line;
       line.erase(std::find(line.begin(), line.end(), m.id));
+      if (!line.empty()) touch(messages.at(line.front()), line.front());
       drop_key(m.key);
     }
+    if (m.due < kNever) agenda.erase({m.due, m.id});
     messages.erase(it);
   }
   void drop_key(const std::string& key) {
@@ -790,28 +746,35 @@
       drop_key(resting.front().second);
     if (!list_changed) return;
     list_changed = false;
-    const auto leaves = [this](const EndpointState& e) {
+    for (auto it = gone.begin(); it != gone.end();) {
+      EndpointState& e = endpoints.at(*it);
       const bool known = e.health != Health::open && now < e.since + health_span();
-      return e.info.listing == Listing::gone && e.calls.empty() && !known && e.own.wait_until <= now;
-    };
-    for (auto it = destinations.begin(); it != destinations.end();) {
-      std::erase_if(it->second.endpoints, [&](const EndpointState* e) { return leaves(*e); });
-      const bool done = it->second.endpoints.empty() && it->second.target.wait_until <= now;
-      if (done) dirty.erase(Due{it->second.target.due, false, it->first, {}});
-      it = done ? destinations.erase(it) : std::next(it);
+      if (!e.calls.empty() || known || e.own.wait_until > now) {
+        ++it;
+        continue;
+      }
+      std::erase(destinations.at(e.info.destination).endpoints, &e);
+      bare.insert(e.info.destination);
+      dirty.erase(Due{e.own.due, true, 0, *it});
+      if (e.given.known) swept.emplace_back(*it, e.info.destination);
+      endpoints.erase(*it);
+      it = gone.erase(it);
+    }
+    for (auto it = bare.begin(); it != bare.end();) {
+      const auto d = destinations.find(*it);
+      const bool done = d != destinations.end() && d->second.endpoints.empty();
+      if (done && d->second.target.wait_until > now) {
+        ++it;
+        continue;
+      }
+      if (done) dirty.erase(Due{d->second.target.due, false, *it, {}}), destinations.erase(d);
+      it = bare.erase(it);
     }
-    std::erase_if(endpoints, [&](const auto& entry) {
-      const EndpointState& e = entry.second;
-      if (!leaves(e)) return false;
-      dirty.erase(Due{e.own.due, true, 0, entry.first});
-      if (e.given.known) swept.emplace_back(entry.first, e.info.destination);
-      return true;
-    });
   }
   void on(const event::Withdrawn& ev) {
     auto it = messages.find(ev.id);
     if (it == messages.end()) return;
-    it->second.over = true;
+    end(it->second);
     forget(it);
   }
   void on(const event::TimerDue&) {
@@ -832,8 +795,9 @@
     Time& wait_until = target_of(e).wait_until;
     if (ev.told_wait > 0) wait_until = std::max(wait_until, now + ev.told_wait), give_by(e, now);
     m.out.erase(attempt);
+    touch(m, ev.id);
     const bool last = --call.left == 0;
-    if (last) e.calls.erase(call_it->first);
+    if (last) std::erase_if(e.calls, [&](const OutCall& c) { return c.id == call_it->first; });
     // A call that we gave up in silence is a failure; one that was overtaken says nothing of the endpoint.
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
@@ -848,6 +812,8 @@
       give_later(e);
     }
     if (last) calls.erase(call_it), e.used_at = now, ended_at.insert(e.info.id);
+    count_trials(e);
+    waiting.news(e.info.destination);
 
     const bool never_ran = ev.outcome == Outcome::full || ev.outcome == Outcome::connect_failed ||
                            ev.outcome == Outcome::not_sent;
@@ -859,7 +825,7 @@
       keys[m.key].rest_until = now + set.settle_after_doubt;
       resting.emplace_back(now + set.settle_after_doubt, m.key);
     }
-    if (ev.closed || ev.outcome == Outcome::served) m.over = true;
+    if (ev.closed || ev.outcome == Outcome::served) end(m);
     if (!m.over && m.out.empty()) {
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
@@ -879,7 +845,11 @@
   }
 
   // ---- The gate. Every send passes here; it tells when to look again. ----
-  bool passes(const Message& m, EndpointState& e, Time& when) {
+  // What it says of a message holds for all of its lane, but for what it calls the message's own; and until
+  // the time it tells, unless something happens at the destination or, where it wants one, a trial call is
+  // free.
+  bool passes(const Message& m, EndpointState& e, Gate& gate) {
+    Time& when = gate.when;
     if (e.info.listing != Listing::active) return false;
     const bool keyed_by_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone;
     if (keyed_by_zone && m.may_ran_zone && e.info.zone != *m.may_ran_zone) return false;
@@ -889,12 +859,19 @@
     if (room_in_call(e)) return true;
     if (calls.size() >= static_cast<std::size_t>(set.slots)) return false;
     const Time ready = std::max(budget_ready(e), pace_ready(t));
+    // Its health changes with time, whatever else keeps messages from it.
+    if (e.health != Health::open) when = std::min(when, e.since + health_span());
     if (ready > now) return when = std::min(when, ready), false;
     if (e.health == Health::closed && m.cls->effect == Effect::unsafe && e.doubt_run && now < m.aim) {
       // A trial call that may be lost is no place for a message that can't be repeated.
-      return when = std::min(when, m.aim), false;
+      return gate.own = true, when = std::min(when, m.aim), false;
     }
-    return static_cast<int>(e.calls.size()) < call_limit(e);
+    if (static_cast<int>(e.calls.size()) < call_limit(e)) return true;
+    return gate.trial = gate.trial || on_trial(e), false;
+  }
+  Waiting::LaneKey lane_of(const Message& m) const {
+    const bool one_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone && m.may_ran_zone;
+    return {m.destination, one_zone ? *m.may_ran_zone : -1, m.cls->effect == Effect::unsafe};
   }
   bool room_in_call(const EndpointState& e) const {
     if (e.open_call == 0) return false;
@@ -904,7 +881,7 @@
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
     // Trials are spaced; all of them out together may hold a part of the slots only.
-    if (on_trial(e)) return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
+    if (on_trial(e)) return trial_free() ? set.slots : 0;
     const int late = overdue(e);
     const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots)
                                                    : std::max(1.0, std::ceil(set.slots * kTargetSlots));
@@ -916,11 +893,7 @@
     return std::max(1, static_cast<int>(limit));
   }
   bool on_trial(const EndpointState& e) const { return e.health != Health::open && e.fail_run > 0; }
-  int trials_out() const {
-    int n = 0;
-    for (const auto& [id, call] : calls) n += on_trial(*call.endpoint);
-    return n;
-  }
+  bool trial_free() const { return static_cast<double>(trials_out) < std::max(1.0, kTrialSlots * set.slots); }
   // Cheaper first: shorter expected wait there, its fee, the distance.
   double price(const EndpointState& e) const {
     const auto zone = static_cast<std::size_t>(e.info.zone);
@@ -929,29 +902,22 @@
     return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) +
            (e.info.zone == set.zone ? 0 : 0.02);
   }
-  bool try_send(Message& m) {
-    Time when = kNever;
+  bool try_send(Message& m, Gate& gate) {
     if (m.sends >= set.attempts_max || now >= latest_send(m)) return false;
-    if (!m.key.empty()) {
-      const KeyLine& k = keys[m.key];
-      const bool own_turn = k.line.front() == m.id;
-      if (!own_turn) return false;
-      if (m.sends == 0 && now < k.rest_until) return wake_by(k.rest_until), false;
-    }
     EndpointState* best = nullptr;
     double best_price = 0;
     const auto destination = destinations.find(m.destination);
     if (destination == destinations.end()) return false;
     for (auto* e : destination->second.endpoints) {
-      if (!passes(m, *e, when)) continue;
+      if (!passes(m, *e, gate)) continue;
       const double p = room_in_call(*e) ? -1 : price(*e) * (1 + 0.1 * uniform());
       if (best == nullptr || p < best_price) best = e, best_price = p;
     }
-    if (best == nullptr) {
-      if (when < kNever) wake_by(when);
-      return false;
-    }
-    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best))) return false;
+    if (best == nullptr) return false;
+    gate.chance = !room_in_call(*best) && best->health == Health::open && !let(target_of(*best));
+    // Another route may take it in the next round.
+    if (gate.chance && destination->second.endpoints.size() > 1) wake_by(now);
+    if (gate.chance) return false;
     send(m, *best);
     return true;
   }
@@ -959,18 +925,22 @@
     Target& t = target_of(e);
     if (!room_in_call(e)) {
       e.open_call = next_call++;
-      calls[e.open_call] = Call{&e, now, 0, 0, false};
-      e.calls.insert(e.open_call);
+      calls[e.open_call] = Call{&e, now, 0, 0, false, {}};
+      e.calls.push_back({e.open_call, now});
+      count_trials(e);
+      if (e.bundle > 1) share_call(m, e);
       if (e.health == Health::open && m.sends == 0) e.asked.add(now);
       e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
       e.used_at = now;
-      if (t.pace != kUnbounded) t.tokens -= 1;
-      if (e.health != Health::open) e.budget -= 1;
+      if (t.pace != kUnbounded) save_tokens(t), t.tokens -= 1;
+      if (e.health != Health::open) save_budget(e), e.budget -= 1;
       if (e.health == Health::closed) e.next_trial = now + trial_gap(e);
       if (overdue(e) > 0) drop_idle(e);
     }
     Call& call = calls[e.open_call];
-    call.messages++, call.left++;
+    call.messages++, call.left++, call.with.push_back(m.id);
+    waiting.remove(m);
+    touch(m, m.id);
     const bool unsafe = m.cls->effect == Effect::unsafe;
     const double aims = seconds(m.cls->aim) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
     const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
@@ -1000,51 +970,169 @@
   }
 
   // ---- What goes next. ----
+  // Messages that come after this one may go in its call, whatever kept them before.
+  void share_call(const Message& with, EndpointState& e) {
+    begun.push_back(&e);
+    const Time ahead = now + micros(kFirstLatency);
+    const double u = urgency(with, ahead);
+    waiting.reopen(with.destination, [&](const Waiting::Entry& other) {
+      const double v = urgency(static_cast<const Message&>(other), ahead);
+      return v < u || (v == u && other.id > with.id);
+    });
+  }
+  void touch(Message& m, MessageId id) {
+    if (!std::exchange(m.touched, true)) touched.push_back(id);
+  }
+  Time last_of(const Message& m) const { return m.out.empty() ? latest_send(m) : m.deadline - 2 * set.tick; }
+  // When its key lets it go: kNever where others come first.
+  Time turn(const Message& m) const {
+    if (m.key.empty()) return now;
+    const KeyLine& k = keys.at(m.key);
+    return k.line.front() != m.id ? kNever : m.sends == 0 ? k.rest_until : now;
+  }
+#ifdef CEDARPLANK_FULL_WALK
+#include CEDARPLANK_FULL_WALK
+#else
   void dispatch() {
-    std::vector<std::pair<double, Message*>> waiting;
-    std::vector<MessageId> ended;
-    std::size_t held = 0;
     const bool slots_short = calls.size() >= static_cast<std::size_t>(set.slots);
-    for (auto& [id, m] : messages) {
-      if (m.over) continue;
-      held++;
-      const bool in_flight = !m.out.empty();
-      const Time last = in_flight ? m.deadline - 2 * set.tick : latest_send(m);
-      if (now >= last) {
-        finish(m, false);
-        ended.push_back(id);
+    const std::size_t held_then = live;
+    for (; !agenda.empty() && agenda.begin()->first <= now; agenda.erase(agenda.begin())) {
+      Message& m = messages.at(agenda.begin()->second);
+      m.due = kNever;
+      touch(m, m.id);
+    }
+    const Time ahead = now + micros(kFirstLatency);
+    waiting.advance(ahead);
+    std::vector<MessageId> due = overdue_messages(slots_short), ended;
+    for (const MessageId id : touched) {
+      const auto it = messages.find(id);
+      if (it == messages.end() || it->second.over) continue;
+      now >= last_of(it->second) ? due.push_back(id) : line_up(it->second, ahead);
+    }
+    std::sort(due.begin(), due.end());
+    due.erase(std::unique(due.begin(), due.end()), due.end());
+    for (const MessageId id : due) {
+      Message& m = messages.at(id);
+      if (now < last_of(m)) {
+        give_up(m, slots_short);
         continue;
       }
-      wake_by(last);
-      if (in_flight) {
-        if (set.cancelling) give_up(m, slots_short);
-        continue;
+      finish(m, false);
+      ended.push_back(id);
+    }
+    const auto urgent = [&](const Waiting::Entry& e) {
+      return urgency(static_cast<const Message&>(e), ahead);
+    };
+    const auto unlucky = send_open(urgent);
+    fill_calls(urgent);
+    for (Message* m : unlucky) waiting.enter(*m, lane_of(*m));
+    // Buffer nearly full: hand back what is worth least, rather than have the next ones turned away.
+    const auto most = std::max<std::size_t>(static_cast<std::size_t>(kBufferFull * set.open_max), 1);
+    if (held_then > most)
+      for (auto* e : waiting.least(held_then - most, urgent)) {
+        Message& m = static_cast<Message&>(*e);
+        if (!may_refuse(m)) continue;
+        finish(m, true);
+        ended.push_back(m.id);
+      }
+    for (auto id : ended) forget(messages.find(id));
+    for (const MessageId id : touched)
+      if (const auto it = messages.find(id); it != messages.end()) plan(it->second);
+    touched.clear();
+    // Short from now on: some that are out may be given up sooner.
+    if (set.cancelling && !slots_short && calls.size() >= static_cast<std::size_t>(set.slots)) wake_by(now);
+    if (!agenda.empty()) wake_by(agenda.begin()->first);
+    if (waiting.next_look() < kNever) wake_by(waiting.next_look());
+  }
+  // Those in flight that may be given up.
+  std::vector<MessageId> overdue_messages(bool slots_short) const {
+    std::vector<MessageId> found;
+    if (!set.cancelling) return found;
+    for (const auto& [id, call] : calls) {
+      const bool overtaken = call.sent < call.endpoint->served_sent,
+                 silent = call.sent >= call.endpoint->served_at;
+      if (!overtaken && !(slots_short && silent)) continue;
+      for (const MessageId with : call.with) {
+        const auto it = messages.find(with);
+        const bool there = it != messages.end() && !it->second.over && !it->second.out.empty();
+        if (there && it->second.out.begin()->second == id) found.push_back(with);
       }
-      if (m.ready > now)
-        wake_by(m.ready);
+    }
+    return found;
+  }
+  // Waits from now on, if its time has come and it does not wait already.
+  void line_up(Message& m, Time ahead) {
+    if (!m.out.empty() || m.ready > now) return;
+    if (!m.listed()) waiting.list(m, ahead);
+    if (m.lane() == nullptr && turn(m) <= now) waiting.enter(m, lane_of(m));
+  }
+  void plan(Message& m) {
+    m.touched = false;
+    Time at = m.over ? kNever : last_of(m);
+    if (!m.over && m.out.empty() && m.lane() == nullptr) at = std::min(at, std::max(m.ready, turn(m)));
+    if (at == m.due) return;
+    if (m.due < kNever) agenda.erase({m.due, m.id});
+    if (at < kNever) agenda.emplace(at, m.id);
+    m.due = at;
+  }
+  // Those that were tried in vain, and are to be tried in the next round.
+  template <class Urgency>
+  std::vector<Message*> send_open(const Urgency& urgent) {
+    waiting.open_due(now);
+    std::vector<Message*> again;
+    while (calls.size() < static_cast<std::size_t>(set.slots)) {
+      auto* const first = waiting.best(urgent, trial_free());
+      if (first == nullptr) break;
+      Message& m = static_cast<Message&>(*first);
+      Gate gate;
+      if (try_send(m, gate)) continue;
+      if (gate.chance || (gate.own && gate.trial))
+        waiting.leave(m), again.push_back(&m), wake_by(gate.when);
+      else if (gate.own)
+        waiting.set_aside(m, gate.when);
       else
-        waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
+        gate.trial ? waiting.await_trial(*m.lane(), gate.when) : waiting.shut(*m.lane(), gate.when);
     }
-    std::stable_sort(waiting.begin(), waiting.end(),
-                     [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<Message*> left;
-    for (auto& [u, m] : waiting)
-      if (!try_send(*m)) left.push_back(m);
-    // Buffer nearly full: hand back what is worth least, rather than have the next ones turned away.
-    auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
-    for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
-      if (!may_refuse(*left.back())) continue;
-      finish(*left.back(), true);
-      ended.push_back(left.back()->id);
+    return again;
+  }
+  // Calls begun in this round may have room for more, whatever the slots.
+  template <class Urgency>
+  void fill_calls(const Urgency& urgent) {
+    using Next = std::tuple<double, MessageId, EndpointState*>;
+    const auto later = [](const Next& a, const Next& b) {
+      return std::get<0>(a) != std::get<0>(b) ? std::get<0>(a) < std::get<0>(b)
+                                              : std::get<1>(a) > std::get<1>(b);
+    };
+    std::priority_queue<Next, std::vector<Next>, decltype(later)> queue(later);
+    std::vector<Waiting::LaneKey> without;  // lanes that find no room
+    const auto put = [&](EndpointState* e) {
+      if (!room_in_call(*e)) return;
+      if (auto* const m = waiting.best_of(e->info.destination, urgent, without))
+        queue.emplace(urgent(*m), m->id, e);
+    };
+    for (EndpointState* e : std::exchange(begun, {})) put(e);
+    while (!queue.empty()) {
+      const auto [u, id, e] = queue.top();
+      queue.pop();
+      const auto it = messages.find(id);
+      if (it != messages.end() && it->second.lane() != nullptr && room_in_call(*e)) {
+        const auto key = lane_of(it->second);
+        Gate gate;
+        if (std::find(without.begin(), without.end(), key) == without.end() && !try_send(it->second, gate))
+          without.push_back(key);
+      }
+      put(e);
     }
-    for (auto id : ended) forget(messages.find(id));
   }
+#endif
 
   void handle(Time at, const std::vector<Event>& events, std::vector<Action>& actions) {
     now = std::max(now, at), out = &actions, wake = kNever;
     for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
     if (set.subscribe) ask();
     dispatch();
+    if (!warmed.empty()) wake_by(now);
+    for (EndpointState* e : std::exchange(warmed, {})) count_trials(*e);
     drop_unused();
     sweep();
     if (wake < timer_at && wake < kNever) {
@@ -1055,33 +1143,6 @@
   }
 };
 
-void validate(const Settings& s) {
-  const auto need = [](bool ok, const char* what) {
-    if (!ok) throw std::invalid_argument(std::string("settings: ") + what);
-  };
-  need(!s.classes.empty(), "classes: at least one is needed");
-  for (const auto& c : s.classes) {
-    need(c.aim > 0, "classes.aim: must be above 0");
-    need(c.deadline > 0, "classes.deadline: must be above 0");
-    need(c.worth >= 0 && c.late_worth >= 0, "classes.worth and late_worth: must not be negative");
-    need(c.key_window >= 0, "classes.key_window: must not be negative");
-  }
-  for (const auto& k : s.kinds) need(k.bundle_max >= 1, "kinds.bundle_max: must be 1 or more");
-  for (const auto& t : s.tenants) need(t.quota_per_s >= 0, "tenants.quota_per_s: must not be negative");
-  need(s.relays >= 1, "relays: must be 1 or more");
-  need(s.slots >= 1, "slots: must be 1 or more");
-  need(s.open_max >= 1, "open_max: must be 1 or more");
-  need(s.attempts_max >= 1, "attempts_max: must be 1 or more");
-  need(s.tick >= 0, "tick: must not be negative");
-  need(s.connect_timeout >= 0, "connect_timeout: must not be negative");
-  need(s.connection_idle >= 0, "connection_idle: must not be negative");
-  need(s.drain_grace >= 0 && s.must_ask_in >= 0 && s.settle_after_doubt >= 0 && s.answer_slack >= 0,
-       "drain_grace, must_ask_in, settle_after_doubt, answer_slack: must not be negative");
-  need(s.fall_multiple > 0, "fall_multiple: must be above 0");
-  need(s.overload_for >= 0 && s.cold >= 0, "overload_for and cold: must not be negative");
-  need(s.cold_from >= 0 && s.cold_from <= 1, "cold_from: must lie between 0 and 1");
-}
-
 Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed) {
   validate(settings);
   state_ = std::make_unique<State>(settings, seed);
--- /dev/null
+++ b/tests/policy/full_walk.cpp
@@ -0,0 +1,23 @@
+// The decisions once more under another name, with another dispatch().
+#define Dispatcher WalkingDispatcher
+#define CEDARPLANK_FULL_WALK "full_walk.inc"
+#include "../../src/dispatcher.cpp"
+#undef Dispatcher
+
+#include "full_walk.hpp"
+
+namespace cedarplank::testing {
+
+struct FullWalk::Inside {
+  WalkingDispatcher dispatcher;
+};
+
+FullWalk::FullWalk(const Settings& settings, std::uint64_t seed)
+    : inside_(new Inside{WalkingDispatcher(settings, seed)}) {}
+FullWalk::~FullWalk() = default;
+
+void FullWalk::handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
+  inside_->dispatcher.handle(now, events, actions);
+}
+
+}  // namespace cedarplank::testing
--- /dev/null
+++ b/tests/policy/random_stream.cpp
@@ -0,0 +1,205 @@
+#include "random_stream.hpp"
+
+#include <algorithm>
+
+namespace cedarplank::testing {
+namespace {
+
+constexpr Time kMs = 1'000, kS = 1'000'000;
+constexpr Time kFar = 3'600 * kS;
+
+}  // namespace
+
+RandomStream::RandomStream(std::uint64_t seed) : random_(seed) {
+  Settings& s = settings_;
+  const auto classes = 1 + roll(3);
+  for (std::uint64_t i = 0; i < classes; i++) {
+    ClassSettings c;
+    c.worth = 1 + static_cast<double>(roll(4));
+    c.late_worth = chance(30) ? 0 : chance(10) ? 1 : static_cast<double>(roll(9)) / 10;
+    c.aim = static_cast<Time>(100 + roll(1'500)) * kMs;
+    c.deadline = chance(10) ? c.aim : c.aim + static_cast<Time>(roll(6'000)) * kMs;
+    c.effect = static_cast<Effect>(roll(3));
+    c.group = static_cast<KeyGroup>(roll(3));
+    c.key_window = static_cast<Time>(1 + roll(5)) * kS;
+    c.ordered = chance(30);
+    s.classes.push_back(c);
+  }
+  const auto kinds = 1 + roll(2);
+  for (std::uint64_t i = 0; i < kinds; i++)
+    s.kinds.push_back({chance(50), chance(50) ? 1 : 2 + static_cast<int>(roll(8))});
+  if (chance(30)) s.tenants = {{5}, {50}}, s.over_share_worth = 0.2;
+  if (chance(30)) s.zone_fees = {0, 0.5};
+  s.decay = chance(50) ? Decay::halves : Decay::line;
+  s.relays = chance(50) ? 1 : 2 + static_cast<int>(roll(300));
+  s.slots = 1 + static_cast<int>(roll(chance(50) ? 5 : 60));
+  s.open_max = 5 + static_cast<int>(roll(200));
+  s.attempts_max = 1 + static_cast<int>(roll(8));
+  s.cancelling = chance(70), s.peers = chance(50), s.subscribe = chance(30);
+  s.tick = static_cast<Time>(1 + roll(10)) * kMs;
+  s.answer_slack = 20 * kMs, s.drain_grace = kS;
+  s.settle_after_doubt = static_cast<Time>(roll(2'000)) * kMs;
+  s.overload_for = kS, s.cold = static_cast<Time>(1 + roll(8)) * kS;
+  destinations_ = 1 + roll(chance(20) ? 40 : 5);
+  const auto count = destinations_ + roll(2 * destinations_ + 1);
+  for (std::uint64_t i = 0; i < count; i++) {
+    Endpoint e;
+    e.id = "e-" + std::to_string(i);
+    e.destination = static_cast<DestinationId>(i % destinations_ + 1);
+    e.zone = static_cast<int>(roll(2));
+    e.kind = static_cast<int>(static_cast<std::uint64_t>(e.destination) % kinds);
+    endpoints_.push_back(e);
+    ways_.push_back(chance(50) ? 0 : chance(30) ? 100 : static_cast<int>(roll(60)));
+  }
+  most_rounds_ = 40 + static_cast<int>(roll(300));
+  busy_ = 5 + static_cast<int>(roll(90));
+}
+
+event::Arrival RandomStream::arrival() {
+  event::Arrival a;
+  a.id = ++last_id_;
+  a.destination = static_cast<DestinationId>(1 + roll(destinations_ + (chance(2) ? 2 : 0)));
+  a.message_class = static_cast<int>(roll(settings_.classes.size()));
+  const auto& c = settings_.classes[static_cast<std::size_t>(a.message_class)];
+  a.time_left = chance(60) ? c.deadline : static_cast<Time>(roll(static_cast<std::uint64_t>(2 * c.deadline)));
+  a.tenant = settings_.tenants.empty() ? -1 : static_cast<int>(roll(settings_.tenants.size()));
+  if (chance(30)) a.order_key = "k" + std::to_string(roll(4));
+  attempts_[a.id] = 0;
+  return a;
+}
+
+void RandomStream::arrivals(std::vector<Event>& events) {
+  if (burst_ == 0 && chance(2)) burst_ = 1 + static_cast<int>(roll(6));
+  const auto many = burst_ > 0 ? roll(40) : chance(busy_) ? 1 + roll(3) : 0;
+  burst_ -= burst_ > 0;
+  for (std::uint64_t i = 0; i < many; i++) events.emplace_back(arrival());
+}
+
+void RandomStream::lists(std::vector<Event>& events) {
+  const auto say = [&](Endpoint e) {
+    e.listing = chance(70) ? Listing::active : chance(50) ? Listing::draining : Listing::gone;
+    return e;
+  };
+  if (rounds_ == 0 || chance(1)) {
+    event::ListWhole whole;
+    for (const auto& e : endpoints_)
+      if (rounds_ == 0 || !chance(15)) whole.endpoints.push_back(rounds_ == 0 ? e : say(e));
+    whole.cached = chance(30);
+    events.emplace_back(std::move(whole));
+  } else if (chance(3)) {
+    event::ListChanges changes;
+    for (auto n = 1 + roll(3); n > 0; n--) {
+      Endpoint& e = endpoints_[roll(endpoints_.size())];
+      // It moves to another destination.
+      if (chance(5)) e.destination = static_cast<DestinationId>(1 + roll(destinations_));
+      changes.endpoints.push_back(say(e));
+    }
+    events.emplace_back(std::move(changes));
+  } else if (chance(1)) {
+    events.emplace_back(event::ListFailed{});
+  }
+  if (chance(3)) ways_[roll(ways_.size())] = chance(50) ? 0 : 100;
+}
+
+void RandomStream::others(std::vector<Event>& events) {
+  if (settings_.peers && chance(3))
+    events.emplace_back(event::PeerNote{1, "1re-" + std::to_string(roll(endpoints_.size()))});
+  if (!attempts_.empty() && chance(2)) {
+    auto it = attempts_.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(roll(attempts_.size())));
+    // Only of messages that have nothing out.
+    const auto out =
+        std::any_of(calls_.begin(), calls_.end(), [&](const Call& c) { return c.id == it->first; });
+    if (!out) events.emplace_back(event::Withdrawn{it->first}), attempts_.erase(it);
+  }
+  if (chance(rounds_ == 0 ? 30 : 1)) {
+    event::Recovered r;
+    r.message = arrival();
+    r.attempts = static_cast<int>(roll(3));
+    attempts_[r.message.id] = r.attempts;
+    if (r.attempts > 0 && chance(50)) r.may_have_run_zone = static_cast<int>(roll(2));
+    r.may_have_run_ago = static_cast<Time>(roll(3'000)) * kMs;
+    events.emplace_back(std::move(r));
+  }
+  if (chance(rounds_ == 0 ? 30 : 1)) {
+    event::TargetRecalled t;
+    const auto& e = endpoints_[roll(endpoints_.size())];
+    t.memory.endpoint = e.id, t.memory.destination = e.destination;
+    t.memory.health = static_cast<Health>(roll(3));
+    t.memory.health_age = static_cast<Time>(roll(5'000)) * kMs;
+    t.memory.usual_rate = static_cast<double>(roll(50)) / 10;
+    t.memory.budget = static_cast<double>(roll(10)) / 10;
+    t.memory.fail_run = static_cast<int>(roll(4));
+    t.memory.wait_left = chance(30) ? static_cast<Time>(roll(2'000)) * kMs : 0;
+    t.memory.pace = chance(30) ? 1 + static_cast<double>(roll(20)) : 0;
+    t.memory.refusals = static_cast<int>(roll(4));
+    t.memory.let_through = chance(30) ? 0.1 : 1;
+    t.age = static_cast<Time>(roll(4'000)) * kMs;
+    events.emplace_back(std::move(t));
+  }
+}
+
+RandomStream::Round RandomStream::next(Time timer) {
+  Round round;
+  if (rounds_ > 0) {
+    const Time step = chance(30) ? settings_.tick : static_cast<Time>(roll(chance(10) ? 1'500 : 60)) * kMs;
+    const Time at = now_ + std::max(step, settings_.tick);
+    round.timer_alone = timer <= at;
+    now_ = std::max(std::min(at, timer), now_ + settings_.tick);
+  }
+  round.at = now_;
+  if (round.timer_alone) round.events.emplace_back(event::TimerDue{0});
+  for (std::size_t i = 0; i < calls_.size();) {
+    const Call c = calls_[i];
+    if (c.ends > now_) {
+      i++;
+      continue;
+    }
+    calls_.erase(calls_.begin() + static_cast<std::ptrdiff_t>(i));
+    event::AttemptEnded e;
+    e.id = c.id, e.attempt = c.attempt, e.endpoint = c.endpoint, e.outcome = c.outcome;
+    e.latency = now_ - c.sent;
+    e.closed = c.outcome == Outcome::served;
+    if (c.outcome == Outcome::full && chance(40)) e.told_wait = static_cast<Time>(roll(1'500)) * kMs;
+    if (e.closed) attempts_.erase(e.id);
+    round.events.emplace_back(std::move(e));
+    round.timer_alone = false;
+  }
+  // Where a timer ends the wait, nothing else comes now and then.
+  if (!round.timer_alone || chance(50)) {
+    round.timer_alone = false;
+    lists(round.events);
+    others(round.events);
+    arrivals(round.events);
+  }
+  rounds_++;
+  return round;
+}
+
+void RandomStream::decided(const std::vector<Action>& actions) {
+  for (const auto& a : actions) {
+    if (const auto* s = std::get_if<action::Send>(&a)) {
+      sends_++;
+      Call c{s->id, attempts_[s->id]++, s->endpoint, now_, 0, Outcome::served};
+      const auto i = static_cast<std::size_t>(std::stoi(s->endpoint.substr(2)));
+      if (chance(ways_[i])) {
+        const Outcome bad[] = {Outcome::error, Outcome::full, Outcome::full,           Outcome::timeout,
+                               Outcome::reset, Outcome::full, Outcome::connect_failed, Outcome::not_sent};
+        c.outcome = bad[roll(std::size(bad))];
+      }
+      const Time takes = chance(5) ? kFar : static_cast<Time>(roll(chance(20) ? 900 : 60)) * kMs;
+      c.ends = now_ + std::min(takes, s->timeout);
+      if (takes >= s->timeout) c.outcome = Outcome::timeout;
+      calls_.push_back(c);
+    } else if (const auto* x = std::get_if<action::Cancel>(&a)) {
+      for (auto& c : calls_)
+        if (c.id == x->id && c.attempt == x->attempt) c.ends = now_, c.outcome = Outcome::cancelled;
+    } else if (const auto* r = std::get_if<action::Refuse>(&a)) {
+      attempts_.erase(r->id);
+    } else if (const auto* f = std::get_if<action::Fail>(&a)) {
+      attempts_.erase(f->id);
+    }
+  }
+}
+
+}  // namespace cedarplank::testing
--- /dev/null
+++ b/tests/policy/rates_test.cpp
@@ -0,0 +1,41 @@
+// What an endpoint that warms up may get: the sum of small steps of its rate, and the way back.
+#include "rates.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace cedarplank::testing {
+namespace {
+
+TEST(Growth, IsTheIntegralOfItsRateAndUntilIsItsInverse) {
+  std::mt19937_64 random(1);
+  const auto part = [&] { return static_cast<double>(random() % 1'000) / 1'000; };
+  for (int i = 0; i < 2'000; i++) {
+    const double full = 0.001 + 20 * part(), warm = part(), rise = random() % 3 == 0 ? 0 : part();
+    const double most = random() % 3 == 0 ? kUnbounded : 0.001 + 20 * part();
+    const Growth g(full, most, warm, rise);
+    double sum = 0, t = 0;
+    constexpr double kStep = 0.001;
+    for (int j = 0; j < 3'000; j++, t += kStep)
+      sum += std::min(full * (warm + rise * (t + kStep / 2)), most) * kStep;
+    EXPECT_NEAR(g.after(t), sum, 1e-3 * std::max(1.0, sum));
+    const double calls = 0.01 + part();
+    const double s = g.until(calls);
+    if (s > 1e6) continue;  // never, nearly
+    EXPECT_NEAR(g.after(s), calls, 1e-6) << full << " " << warm << " " << rise << " " << most;
+  }
+}
+
+TEST(Rate, LookingChangesNothing) {
+  Rate often(4), seldom(4);
+  for (Time now = 0; now < 20'000'000; now += 50'000) {
+    often.add(now), seldom.add(now);
+    for (Time t = now; t < now + 50'000; t += 7'000) (void)often.at(t);
+  }
+  EXPECT_EQ(often.at(21'000'000), seldom.at(21'000'000));
+  EXPECT_NEAR(seldom.at(20'000'000), 20, 1);
+}
+
+}  // namespace
+}  // namespace cedarplank::testing
--- /dev/null
+++ b/tests/policy/worth_test.cpp
@@ -0,0 +1,60 @@
+// Within a phase the order of two messages of one class never changes, and is the one that the phase tells.
+#include "worth.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace cedarplank::testing {
+namespace {
+
+double urgency(const ClassSettings& c, Decay decay, Time past, Time ahead) {
+  const double v = worth_left(c, decay, past);
+  return v - worth_left(c, decay, past + ahead) + 0.1 * v;
+}
+
+TEST(WorthPhases, OrderMessagesAsTheirUrgencyDoes) {
+  std::mt19937_64 random(1);
+  std::size_t compared = 0;
+  for (int i = 0; i < 300; i++) {
+    ClassSettings c;
+    c.late_worth = static_cast<double>(random() % 12) / 10;
+    c.aim = static_cast<Time>(1 + random() % 2'000) * 1'000;
+    c.deadline = random() % 8 == 0 ? c.aim / 2 : c.aim + static_cast<Time>(random() % 6'000) * 1'000;
+    const auto decay = random() % 2 == 0 ? Decay::line : Decay::halves;
+    const auto ahead = static_cast<Time>(random() % static_cast<std::uint64_t>(c.aim / 1'000 + 1)) * 1'000;
+    const auto phases = worth_phases(c, decay, ahead);
+    ASSERT_FALSE(phases.empty());
+    for (std::size_t p = 0; p < phases.size(); p++) {
+      const Time from = p == 0 ? phases[p].from / 1'000 : phases[p].from;
+      const Time until = p + 1 < phases.size() ? phases[p + 1].from : phases[p].from + 10'000'000;
+      const Time low = p == 0 ? until - 10'000'000 : from;
+      ASSERT_LT(low, until);
+      for (int j = 0; j < 50; j++) {
+        const auto span = static_cast<std::uint64_t>(until - low);
+        Time a = low + static_cast<Time>(random() % span), b = low + static_cast<Time>(random() % span);
+        if (j == 0) a = low;  // both ends belong to it
+        if (j == 1) b = until - 1;
+        if (a == b) continue;
+        if (a < b) std::swap(a, b);  // a's aim is the earlier one
+        const double of_a = urgency(c, decay, a, ahead), of_b = urgency(c, decay, b, ahead);
+        compared++;
+        switch (phases[p].order) {
+          case Phase::Order::by_id:
+            EXPECT_EQ(of_a, of_b) << "class " << i << " phase " << p << ": " << a << ", " << b;
+            break;
+          case Phase::Order::earlier_aim:
+            EXPECT_GT(of_a, of_b) << "class " << i << " phase " << p << ": " << a << ", " << b;
+            break;
+          case Phase::Order::later_aim:
+            EXPECT_LT(of_a, of_b) << "class " << i << " phase " << p << ": " << a << ", " << b;
+            break;
+        }
+      }
+    }
+  }
+  EXPECT_GT(compared, 10'000u);
+}
+
+}  // namespace
+}  // namespace cedarplank::testing
