Directory and kept connections: what changed costs, not what is listed or kept

Need: each changed entry walked all endpoints listed (relay and calls); a wait told anywhere, too.

Changed: relay/core/directory holds endpoints by id and by destination, compares a list with what is known and tells the module only what differs (a whole list that says nothing new tells nothing). relay/backs/kept_connections keeps connections of all endpoints in the order of their last use: each step costs the same at any number. Calls are found by message and by endpoint. A round finds the call to fill by endpoint. Connections that were opened are counted, with where those went that could have been used again.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 
 #include "answer.hpp"
 #include "fail_points.hpp"
@@ -63,7 +64,6 @@
   explicit Connection(net::io_context& io) : socket(io) {}
   tcp::socket socket;
   tcp::endpoint address;
-  Time idle_since = 0;
 };
 
 struct Calls::Call {
@@ -103,21 +103,25 @@
 Calls::~Calls() = default;
 
 void Calls::locate(const EndpointId& endpoint, const tcp::endpoint& address) {
-  Place& place = places_[endpoint];
-  if (place.address == address) return;
-  place.address = address;
-  close_idle(endpoint);
+  const auto [place, fresh] = places_.try_emplace(endpoint, address);
+  if (place->second == address) return;
+  place->second = address;
+  connections_.moved += kept_.drop_all(endpoint);
 }
 
 void Calls::forget(const EndpointId& endpoint) {
-  close_idle(endpoint);
+  connections_.moved += kept_.drop_all(endpoint);
   places_.erase(endpoint);
 }
 
 void Calls::send(const EndpointId& endpoint, std::vector<Outgoing> messages) {
   const auto call = std::make_shared<Call>(io_, endpoint, std::move(messages));
-  const bool room = out_.size() < limits_.slots && places_.count(endpoint) > 0;
-  if (room) out_.insert(call);
+  const bool room = out_ < limits_.slots && places_.count(endpoint) > 0;
+  if (room) {
+    out_++;
+    calls_[endpoint].push_back(call);
+    for (const auto& m : call->messages) by_message_[m.id] = call;
+  }
   net::post(io_, [this, call, room] {
     if (call->stage == Call::Stage::done) return;
     if (!room) return end_all(call, Outcome::not_sent);
@@ -128,26 +132,24 @@
 void Calls::begin(const std::shared_ptr<Call>& call) {
   const auto found = places_.find(call->endpoint);
   if (found == places_.end()) return end_all(call, Outcome::not_sent);
-  Place& place = found->second;
   const Time rested = steady_now() - kRest;
-  auto& idle = place.idle;
-  while (!idle.empty()) {
-    const auto found_rested =
-        std::find_if(idle.rbegin(), idle.rend(), [&](const auto& c) { return c->idle_since <= rested; });
-    if (found_rested == idle.rend()) return begin_at(call, idle.front()->idle_since + kRest);
-    const auto connection = *found_rested;
-    idle.erase(std::next(found_rested).base()), kept_--;
+  while (const auto connection = kept_.take(call->endpoint, rested)) {
     error_code bad;
     connection->socket.cancel(bad);
     char byte = 0;
     // Guards against writing to a kept connection that the endpoint has closed: that would be a reset.
     connection->socket.receive(net::buffer(&byte, 1), tcp::socket::message_peek, bad);
-    if (bad != net::error::would_block) continue;
+    if (bad != net::error::would_block) {
+      connections_.closed_there++;
+      continue;
+    }
     call->connection = connection;
     arm(call);
     return write(call);
   }
-  connect(call, place.address);
+  if (const Time since = kept_.longest_idle_since(call->endpoint); since >= 0)
+    return begin_at(call, since + kRest);
+  connect(call, found->second);
 }
 
 void Calls::begin_at(const std::shared_ptr<Call>& call, Time when) {
@@ -159,8 +161,8 @@
 
 void Calls::connect(const std::shared_ptr<Call>& call, const tcp::endpoint& address) {
   // Calls out come first: kept connections make room for theirs.
-  while (out_.size() + kept_ > limits_.connections && drop_longest_idle()) {
-  }
+  while (out_ + kept_.size() > limits_.connections && kept_.drop_longest_idle()) connections_.evicted++;
+  connections_.opened++;
   call->connection = std::make_shared<Connection>(io_);
   call->connection->address = address;
   arm(call);
@@ -343,6 +345,8 @@
 void Calls::end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed) {
   if (call->over[part]) return;
   call->over[part] = true;
+  const auto mine = by_message_.find(call->messages[part].id);
+  if (mine != by_message_.end() && mine->second == call) by_message_.erase(mine);
   const bool given_up =
       outcome == Outcome::reset || outcome == Outcome::timeout || outcome == Outcome::cancelled;
   if (given_up && call->delivered()) outcome = Outcome::served, closed = true;
@@ -358,10 +362,13 @@
   if (--call->left == 0) {
     call->stage = Call::Stage::done;
     call->timer.cancel();
-    out_.erase(call);
+    forget(call);
     // Given up or broken: no answer may come on this connection any more.
     error_code ignored;
-    if (call->connection && !call->sound) call->connection->socket.close(ignored);
+    if (call->connection && !call->sound) {
+      connections_.unsound += call->connection->socket.is_open();
+      call->connection->socket.close(ignored);
+    }
     call->connection.reset();
   }
   ended_(e);
@@ -371,34 +378,51 @@
   for (std::size_t i = 0; i < call->messages.size(); i++) end(call, i, outcome, closed);
 }
 
+void Calls::forget(const std::shared_ptr<Call>& call) {
+  const auto of = calls_.find(call->endpoint);
+  if (of == calls_.end()) return;
+  const auto at = std::find(of->second.begin(), of->second.end(), call);
+  if (at == of->second.end()) return;  // there was no room for it
+  out_--;
+  *at = std::move(of->second.back());
+  of->second.pop_back();
+  if (of->second.empty()) calls_.erase(of);
+}
+
 void Calls::cancel(MessageId id, int attempt) {
-  for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
-    for (std::size_t i = 0; i < call->messages.size(); i++)
-      if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
-        const bool begun = call->stage != Call::Stage::connecting;
-        return end(call, i, begun ? Outcome::cancelled : Outcome::connect_failed);
-      }
+  const auto found = by_message_.find(id);
+  if (found == by_message_.end()) return;
+  const auto call = found->second;
+  for (std::size_t i = 0; i < call->messages.size(); i++)
+    if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
+      const bool begun = call->stage != Call::Stage::connecting;
+      return end(call, i, begun ? Outcome::cancelled : Outcome::connect_failed);
+    }
 }
 
 void Calls::hold_back(const EndpointId& endpoint) {
-  for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
-    if (call->endpoint == endpoint && call->stage == Call::Stage::connecting)
-      end_all(call, Outcome::not_sent);
+  const auto of = calls_.find(endpoint);
+  if (of == calls_.end()) return;
+  for (const auto& call : std::vector<std::shared_ptr<Call>>(of->second))
+    if (call->stage == Call::Stage::connecting) end_all(call, Outcome::not_sent);
 }
 
 void Calls::hold_back_all() {
-  for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
-    if (call->stage == Call::Stage::connecting) end_all(call, Outcome::not_sent);
+  std::vector<EndpointId> all;
+  for (const auto& [endpoint, calls] : calls_) all.push_back(endpoint);
+  for (const auto& endpoint : all) hold_back(endpoint);
 }
 
 void Calls::keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
   const auto found = places_.find(endpoint);
-  if (found == places_.end()) return;
-  Place& place = found->second;
-  if (connection->address != place.address || out_.size() + kept_ >= limits_.connections) return;
-  connection->idle_since = steady_now();
-  place.idle.push_back(connection);
-  if (kept_++ == 0) sweep();
+  if (found == places_.end() || connection->address != found->second) return;
+  if (out_ + kept_.size() >= limits_.connections) {
+    connections_.not_kept++;
+    return;
+  }
+  const bool first = kept_.empty();
+  kept_.put(endpoint, connection, steady_now());
+  if (first) sweep();
   watch_idle(connection, endpoint);
 }
 
@@ -412,39 +436,18 @@
 }
 
 void Calls::drop(const EndpointId& endpoint, const Connection* connection) {
-  const auto found = places_.find(endpoint);
-  if (found == places_.end()) return;
-  kept_ -= std::erase_if(found->second.idle, [&](const auto& c) { return c.get() == connection; });
+  connections_.closed_there++;
+  kept_.drop(endpoint, connection);
 }
 
-void Calls::close_idle(const EndpointId& endpoint) {
-  const auto found = places_.find(endpoint);
-  if (found == places_.end()) return;
-  kept_ -= found->second.idle.size();
-  found->second.idle.clear();
-}
-
-bool Calls::drop_longest_idle() {
-  Place* longest = nullptr;
-  for (auto& [id, place] : places_)
-    if (!place.idle.empty() &&
-        (longest == nullptr || place.idle.front()->idle_since < longest->idle.front()->idle_since))
-      longest = &place;
-  if (longest == nullptr) return false;
-  longest->idle.erase(longest->idle.begin()), kept_--;
-  return true;
-}
+void Calls::close_idle(const EndpointId& endpoint) { connections_.dropped += kept_.drop_all(endpoint); }
 
 // Closes kept connections before their end comes; sleeps until the next is due.
 void Calls::sweep() {
   const Time now = steady_now(), most = static_cast<Time>(kKeptPart * static_cast<double>(limits_.idle));
-  Time due = now + most;
-  for (auto& [id, place] : places_) {
-    kept_ -= std::erase_if(place.idle, [&](const auto& c) { return now >= c->idle_since + most; });
-    for (const auto& c : place.idle) due = std::min(due, c->idle_since + most);
-  }
-  if (kept_ == 0) return;
-  sweep_timer_.expires_after(span(due - now));
+  connections_.aged += kept_.drop_idle_since(now - most);
+  if (kept_.empty()) return;
+  sweep_timer_.expires_after(span(kept_.oldest() + most - now));
   sweep_timer_.async_wait([this](error_code bad) {
     if (!bad) sweep();
   });
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -9,12 +9,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "backs/kept_connections.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "clock.hpp"
 #include "log.hpp"
@@ -61,15 +61,25 @@
   void hold_back(const EndpointId& endpoint);
   void hold_back_all();
 
-  std::size_t out() const { return out_.size(); }
+  std::size_t out() const { return out_; }
+  std::size_t kept() const { return kept_.size(); }
+
+  // Since the start: how many connections were opened, and where those went that could have been used again.
+  struct Connections {
+    std::uint64_t opened = 0;
+    std::uint64_t closed_there = 0;  // kept ones that the endpoint closed, or sent something on
+    std::uint64_t aged = 0;          // closed for their age, before the endpoint would
+    std::uint64_t evicted = 0;       // for want of room, for a call that needed one
+    std::uint64_t not_kept = 0;      // for want of room, after their call
+    std::uint64_t dropped = 0;       // as the module asked
+    std::uint64_t moved = 0;         // their endpoint is gone, or elsewhere
+    std::uint64_t unsound = 0;  // not to be used again: answers that end a connection, spoilt ones, time-outs
+  };
+  const Connections& connections() const { return connections_; }
 
  private:
   struct Connection;
   struct Call;
-  struct Place {
-    boost::asio::ip::tcp::endpoint address;
-    std::vector<std::shared_ptr<Connection>> idle;  // freshest last
-  };
 
   void begin(const std::shared_ptr<Call>& call);
   void begin_at(const std::shared_ptr<Call>& call, Time when);
@@ -86,7 +96,7 @@
   void watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint);
   void drop(const EndpointId& endpoint, const Connection* connection);
   void sweep();
-  bool drop_longest_idle();
+  void forget(const std::shared_ptr<Call>& call);
 
   boost::asio::io_context& io_;
   CallLimits limits_;
@@ -95,9 +105,12 @@
   Tally odd_;
   std::array<char, 16 * 1024> chunk_{};  // what was read last
   boost::asio::steady_timer sweep_timer_;
-  std::map<EndpointId, Place> places_;
-  std::set<std::shared_ptr<Call>> out_;
-  std::size_t kept_ = 0;
+  std::unordered_map<EndpointId, boost::asio::ip::tcp::endpoint> places_;
+  std::unordered_map<EndpointId, std::vector<std::shared_ptr<Call>>> calls_;  // out, by endpoint
+  std::unordered_map<MessageId, std::shared_ptr<Call>> by_message_;  // their messages, until each is over
+  std::size_t out_ = 0;
+  KeptConnections<Connection> kept_;
+  Connections connections_;
 };
 
 }  // namespace heronvane
--- /dev/null
+++ b/relay/core/directory.cpp
@@ -0,0 +1,113 @@
+#include "core/directory.hpp"
+
+#include <algorithm>
+
+namespace heronvane {
+
+using cedarplank::DestinationId;
+using cedarplank::Endpoint;
+using cedarplank::EndpointId;
+using cedarplank::Listing;
+
+namespace {
+
+constexpr std::size_t kMostUnlisted = 10'000;  // destinations without endpoints that are remembered
+
+// Whether the module need not hear of it: the moment of its listing is reckoned anew from each list, by
+// clocks that differ a little.
+bool same(const Endpoint& a, const Endpoint& b) {
+  constexpr cedarplank::Time kNear = 1'000'000;
+  return a.destination == b.destination && a.zone == b.zone && a.kind == b.kind && a.listing == b.listing &&
+         a.weight == b.weight && (a.since == 0) == (b.since == 0) && std::abs(a.since - b.since) < kNear;
+}
+
+}  // namespace
+
+void Directory::leave(DestinationId destination, const EndpointId& id) {
+  const auto of = by_destination_.find(destination);
+  if (of == by_destination_.end()) return;
+  std::erase(of->second, id);
+  if (of->second.empty()) by_destination_.erase(of);
+}
+
+void Directory::put(const Endpoint& endpoint, Changes& changes) {
+  const auto [it, fresh] = endpoints_.try_emplace(endpoint.id);
+  Entry& entry = it->second;
+  entry.named_by = lists_;
+  if (!fresh && same(entry.endpoint, endpoint)) return;
+  if (!fresh && entry.endpoint.destination != endpoint.destination)
+    leave(entry.endpoint.destination, endpoint.id);
+  if (fresh || entry.endpoint.destination != endpoint.destination)
+    by_destination_[endpoint.destination].push_back(endpoint.id);
+  active_ -= !fresh && entry.endpoint.listing == Listing::active;
+  active_ += endpoint.listing == Listing::active;
+  entry.endpoint = endpoint;
+  named_.insert(endpoint.destination);
+  changes.endpoints.push_back(endpoint);
+  if (endpoint.listing != Listing::active) changes.unfit.push_back(endpoint.id);
+}
+
+Directory::Entries::iterator Directory::remove(Entries::iterator it, Changes& changes) {
+  const Endpoint& e = it->second.endpoint;
+  active_ -= e.listing == Listing::active;
+  leave(e.destination, it->first);
+  changes.endpoints.push_back(e);
+  changes.endpoints.back().listing = Listing::gone;
+  changes.unfit.push_back(it->first);
+  return endpoints_.erase(it);
+}
+
+Directory::Changes Directory::take(const MemberList& list, const Left& left, const Located& located) {
+  Changes changes;
+  lists_++;
+  for (const Member& m : list.members) {
+    located(m);
+    if (m.endpoint.listing != Listing::gone) {
+      put(m.endpoint, changes);
+      continue;
+    }
+    named_.insert(m.endpoint.destination);
+    const auto it = endpoints_.find(m.endpoint.id);
+    if (it != endpoints_.end()) {
+      remove(it, changes);
+    } else {
+      // The module may know it yet.
+      changes.endpoints.push_back(m.endpoint);
+      changes.unfit.push_back(m.endpoint.id);
+    }
+  }
+  if (list.snapshot)
+    for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+      if (it->second.named_by == lists_) {
+        ++it;
+        continue;
+      }
+      left(it->first);
+      it = remove(it, changes);
+    }
+  if (named_.size() > kMostUnlisted + endpoints_.size()) {
+    named_.clear();
+    for (const auto& [destination, ids] : by_destination_) named_.insert(destination);
+  }
+  return changes;
+}
+
+const Endpoint* Directory::find(const EndpointId& id) const {
+  const auto it = endpoints_.find(id);
+  return it == endpoints_.end() ? nullptr : &it->second.endpoint;
+}
+
+const std::vector<EndpointId>& Directory::of(DestinationId destination) const {
+  static const std::vector<EndpointId> none;
+  const auto it = by_destination_.find(destination);
+  return it == by_destination_.end() ? none : it->second;
+}
+
+std::vector<Endpoint> Directory::all() const {
+  std::vector<Endpoint> all;
+  all.reserve(endpoints_.size());
+  for (const auto& [id, entry] : endpoints_) all.push_back(entry.endpoint);
+  return all;
+}
+
+}  // namespace heronvane
--- /dev/null
+++ b/relay/core/directory.hpp
@@ -0,0 +1,65 @@
+// The endpoints that are listed, by their ids and by their destinations. No input or output here.
+//
+// A list is compared with what is known: what it changes is told, and nothing else; so a changed entry costs
+// what changed, not what is listed.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "cedarplank/dispatcher.hpp"
+#include "members.hpp"
+
+namespace heronvane {
+
+class Directory {
+ public:
+  // What a list changed, each endpoint once: those that are new, that differ, and (as gone) that left. Those
+  // of them that are no longer active stand in `unfit` too.
+  struct Changes {
+    std::vector<cedarplank::Endpoint> endpoints;
+    std::vector<cedarplank::EndpointId> unfit;
+  };
+
+  // Takes a list, or changes. Of a whole list (`snapshot`) what it does not name is gone, and told `left`
+  // before it is forgotten. Addresses are not kept here: `located` hears of each that is named.
+  using Left = std::function<void(const cedarplank::EndpointId&)>;
+  using Located = std::function<void(const Member&)>;
+  Changes take(const MemberList& list, const Left& left, const Located& located);
+
+  // Null where it is not listed; valid until the next list.
+  const cedarplank::Endpoint* find(const cedarplank::EndpointId& id) const;
+  // The endpoints of a destination, in no order; empty where it has none.
+  const std::vector<cedarplank::EndpointId>& of(cedarplank::DestinationId destination) const;
+  // All that are listed, in no order.
+  std::vector<cedarplank::Endpoint> all() const;
+  // Whether any list has named that destination. Those without endpoints are forgotten once there are very
+  // many of them.
+  bool knows(cedarplank::DestinationId destination) const { return named_.count(destination) > 0; }
+  void name(cedarplank::DestinationId destination) { named_.insert(destination); }
+  bool any_active() const { return active_ > 0; }
+  std::size_t size() const { return endpoints_.size(); }
+
+ private:
+  struct Entry {
+    cedarplank::Endpoint endpoint;
+    std::uint64_t named_by = 0;  // the list that named it last
+  };
+  using Entries = std::unordered_map<cedarplank::EndpointId, Entry>;
+
+  void put(const cedarplank::Endpoint& endpoint, Changes& changes);
+  Entries::iterator remove(Entries::iterator it, Changes& changes);
+  void leave(cedarplank::DestinationId destination, const cedarplank::EndpointId& id);
+
+  Entries endpoints_;
+  std::unordered_map<cedarplank::DestinationId, std::vector<cedarplank::EndpointId>> by_destination_;
+  std::unordered_set<cedarplank::DestinationId> named_;
+  std::size_t active_ = 0;
+  std::uint64_t lists_ = 0;
+};
+
+}  // namespace heronvane
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -19,7 +19,6 @@
 
 // Share of the memory for bodies that are being read.
 constexpr std::size_t kBodyPart = 8;
-constexpr std::size_t kMostDestinations = 4096;              // remembered besides those that are listed
 constexpr Time kComeBack = 500'000;                          // what found no room may come again after this
 constexpr auto kStallRetry = std::chrono::milliseconds(50);  // until the store is tried again
 constexpr auto kCompactRetry = std::chrono::milliseconds(250);  // where compaction found no room
@@ -77,12 +76,6 @@
   }
 }
 
-std::vector<cedarplank::Endpoint> endpoints_of(const MemberList& list) {
-  std::vector<cedarplank::Endpoint> endpoints;
-  for (const auto& m : list.members) endpoints.push_back(m.endpoint);
-  return endpoints;
-}
-
 }  // namespace
 
 Relay::Relay(net::io_context& io, const Config& config, Start start)
@@ -122,16 +115,14 @@
       stall_timer_(io),
       drain_timer_(io),
       compact_timer_(io) {
-  for (const auto& m : known_.members) {
-    calls_.locate(m.endpoint.id, m.address);
-    endpoints_[m.endpoint.id] = m.endpoint;
-  }
-  for (const auto& m : config.known.members) destinations_.insert(m.endpoint.destination);
-  events_.push_back(event::ListWhole{endpoints_of(known_), true});
+  directory_.take(
+      known_, [](const EndpointId&) {}, [this](const Member& m) { calls_.locate(m.endpoint.id, m.address); });
+  for (const auto& m : config.known.members) directory_.name(m.endpoint.destination);
+  events_.push_back(event::ListWhole{directory_.all(), true});
   for (const auto& key : recalled_.outdated()) store_.keep(key, {});
   store_.on_sync([this] { synced(); });
   start_drained();
-  recall();
+  recall(directory_.all());
   HERONVANE_POINT("recover.taken-back");
   recover();
   HERONVANE_POINT("recover.done");
@@ -211,9 +202,7 @@
 }
 
 bool Relay::ready() const {
-  const auto active = [](const auto& entry) { return entry.second.listing == Listing::active; };
-  return !stopping_ && !drain_.drain && !unwritten_ && store_.trouble().empty() &&
-         std::any_of(endpoints_.begin(), endpoints_.end(), active);
+  return !stopping_ && !drain_.drain && !unwritten_ && store_.trouble().empty() && directory_.any_active();
 }
 
 // ---- What comes in. ----
@@ -227,7 +216,7 @@
     return reply({202, 0});
   if (drain_.drain) return reply({503, kComeBack});
   // Before discovery has told its list, an unknown destination may only be unknown yet.
-  if (destinations_.count(message.destination) == 0)
+  if (!directory_.knows(message.destination))
     return list_told_ ? reply({404, 0, "unknown destination"}) : reply({503, kComeBack});
   message.deadline = store_.clock().now() + left;
   const std::size_t open = arrived_.size() + store_.open();
@@ -261,12 +250,12 @@
 }
 
 void Relay::hold_back(const EndpointId& endpoint) {
-  const auto it = endpoints_.find(endpoint);
-  if (it == endpoints_.end()) return;
-  const auto kind = static_cast<std::size_t>(it->second.kind);
+  const auto* const told = directory_.find(endpoint);
+  if (told == nullptr) return;
+  const auto kind = static_cast<std::size_t>(told->kind);
   const bool apart = kind < config_.settings.kinds.size() && config_.settings.kinds[kind].routes_apart;
-  for (const auto& [id, e] : endpoints_)
-    if (id == endpoint || (!apart && e.destination == it->second.destination)) keep_from(id);
+  if (apart) return keep_from(endpoint);
+  for (const auto& id : std::vector<EndpointId>(directory_.of(told->destination))) keep_from(id);
 }
 
 // Nothing that has not begun goes there now.
@@ -279,48 +268,30 @@
   const std::string discovery = text_of(platform_.address());
   const Time now = store_.clock().now();
   list = list_memory_.told(std::move(list), discovery, now);
-  if (list.snapshot) {
-    std::set<EndpointId> named;
-    for (const auto& m : list.members) named.insert(m.endpoint.id);
-    for (auto& [id, e] : endpoints_) {
-      if (named.count(id) > 0) continue;
-      e.listing = Listing::gone;
-      list_memory_.gone(id, list.index, discovery, now);
-    }
-  }
-  for (const auto& m : list.members) {
-    calls_.locate(m.endpoint.id, m.address);
-    endpoints_[m.endpoint.id] = m.endpoint;
-    destinations_.insert(m.endpoint.destination);
-  }
+  const auto changes = directory_.take(
+      list, [&](const EndpointId& id) { list_memory_.gone(id, list.index, discovery, now); },
+      [this](const Member& m) { calls_.locate(m.endpoint.id, m.address); });
   list_told_ = true;
-  for (const auto& [id, e] : endpoints_) {
-    if (e.listing == Listing::active) continue;
+  for (const auto& id : changes.unfit) {
     keep_from(id);
     calls_.close_idle(id);
-    if (e.listing == Listing::gone) calls_.forget(id);
-  }
-  std::erase_if(endpoints_, [](const auto& entry) { return entry.second.listing == Listing::gone; });
-  if (destinations_.size() > kMostDestinations + endpoints_.size()) {
-    destinations_.clear();
-    for (const auto& [id, e] : endpoints_) destinations_.insert(e.destination);
+    if (directory_.find(id) == nullptr) calls_.forget(id);
   }
   // One whole list later, rather than all that was told while the module can't be asked.
   if (unwritten_)
     list_missed_ = true;
-  else if (list.snapshot)
-    happened(event::ListWhole{endpoints_of(list), false});
   else
-    happened(event::ListChanges{endpoints_of(list)});
-  recall();
+    happened(event::ListChanges{changes.endpoints});
+  recall(changes.endpoints);
 }
 
 // What earlier lives learned of endpoints that are listed now is the module's again.
-void Relay::recall() {
+void Relay::recall(const std::vector<cedarplank::Endpoint>& endpoints) {
   if (recalled_.size() == 0 || unwritten_) return;
   const Time now = store_.clock().now(), gap = store_.clock().assumed_gap();
-  for (const auto& [id, e] : endpoints_)
-    if (auto target = recalled_.take(id, now, gap)) happened(std::move(*target));
+  for (const auto& e : endpoints)
+    if (e.listing != Listing::gone)
+      if (auto target = recalled_.take(e.id, now, gap)) happened(std::move(*target));
 }
 
 // While nothing can be written only the last value of each key waits: lists may go on changing for long.
@@ -384,6 +355,7 @@
 
 void Relay::decide(Plan& plan) {
   std::vector<cedarplank::Action> actions;
+  filling_.clear();
   const auto events = std::exchange(events_, {});
   dispatcher_.handle(last_round_, events, actions);
   for (const auto& a : actions) {
@@ -412,24 +384,24 @@
 
 void Relay::send(Plan& plan, const action::Send& a) {
   const Held* const held = store_.find(a.id);
-  const auto endpoint = endpoints_.find(a.endpoint);
+  const auto* const endpoint = directory_.find(a.endpoint);
   if (held == nullptr || held->ending) return;
-  const int zone = endpoint == endpoints_.end() ? -1 : endpoint->second.zone;
-  const auto kind =
-      endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
+  const int zone = endpoint == nullptr ? -1 : endpoint->zone;
+  const auto kind = endpoint == nullptr ? std::size_t{0} : static_cast<std::size_t>(endpoint->kind);
   const auto& kinds = config_.settings.kinds;
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
   Outgoing one{a.id, static_cast<int>(held->attempts.size()), a.timeout, held->message.id,
                held->message.body};
   store_.sent(a.id, store_.clock().now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
-  const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
-    return call.first == a.endpoint && call.second.size() < most;
-  });
-  if (open != plan.calls.end())
-    open->second.push_back(std::move(one));
-  else
-    plan.calls.emplace_back(a.endpoint, std::vector<Outgoing>{std::move(one)});
+  const auto [open, first] = filling_.try_emplace(a.endpoint, plan.calls.size());
+  if (!first && plan.calls[open->second].second.size() < most) {
+    plan.calls[open->second].second.push_back(std::move(one));
+    return;
+  }
+  open->second = plan.calls.size();
+  plan.calls.emplace_back(a.endpoint, std::vector<Outgoing>{});
+  plan.calls.back().second.push_back(std::move(one));
 }
 
 // An end that is not a delivery: told in the answer where the client still waits for it, else by a notice.
@@ -482,10 +454,9 @@
   if (std::exchange(unwritten_, false)) {
     for (const auto& [key, value] : std::exchange(kept_meanwhile_, {})) store_.keep(key, value);
     if (std::exchange(list_missed_, false)) {
-      std::vector<cedarplank::Endpoint> all;
-      for (const auto& [id, e] : endpoints_) all.push_back(e);
-      happened(event::ListWhole{std::move(all), false});
-      recall();
+      const auto all = directory_.all();
+      happened(event::ListWhole{all, false});
+      recall(all);
     }
     schedule();  // what came meanwhile is decided on now
   }
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -17,6 +17,7 @@
 #include "calls.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
+#include "core/directory.hpp"
 #include "core/drain.hpp"
 #include "core/held_gauge.hpp"
 #include "core/list_memory.hpp"
@@ -63,7 +64,7 @@
   std::unique_ptr<Peers> hear_peers();
   std::unique_ptr<store::SyncThread> sync_thread();
   void recover();
-  void recall();
+  void recall(const std::vector<cedarplank::Endpoint>& endpoints);
   bool keep(const std::string& key, const std::string& value);
   void remember_targets();
   void arrive(Message message, Time left, Reply reply);
@@ -136,15 +137,15 @@
   Calls calls_;
   Platform platform_;
 
-  std::map<EndpointId, cedarplank::Endpoint> endpoints_;
-  std::unordered_map<std::string, MessageId> numbers_;  // of the messages held, by the client's id
-  std::map<MessageId, Reply> unanswered_;               // taken in this round
+  Directory directory_;
+  std::unordered_map<EndpointId, std::size_t> filling_;  // of the plan that is made, the last call to each
+  std::unordered_map<std::string, MessageId> numbers_;   // of the messages held, by the client's id
+  std::map<MessageId, Reply> unanswered_;                // taken in this round
   // Ids that wait for their answer, with those that handed the same one in meanwhile.
   std::unordered_map<std::string, std::vector<Reply>> twins_;
-  RecentIds recent_;                     // taken on and over; those that may run again
-  HeldGauge gauge_;                      // kept where there is an admin socket
-  std::set<std::int64_t> destinations_;  // that any list has named
-  bool list_told_ = false;               // by discovery, in this life
+  RecentIds recent_;        // taken on and over; those that may run again
+  HeldGauge gauge_;         // kept where there is an admin socket
+  bool list_told_ = false;  // by discovery, in this life
   std::vector<Arrived> arrived_;
   std::vector<cedarplank::Event> events_;
   std::multimap<Time, std::uint64_t> timers_;
--- a/relay/relay_admin.cpp
+++ b/relay/relay_admin.cpp
@@ -100,13 +100,12 @@
   std::vector<cedarplank::TargetMemory> known;
   dispatcher_.targets(steady_now(), kMostTargets, known);
   for (auto& k : known) {
-    const auto it = endpoints_.find(k.endpoint);
-    s.targets.push_back(
-        {std::move(k), it == endpoints_.end() ? cedarplank::Listing::gone : it->second.listing});
+    const auto* const told = directory_.find(k.endpoint);
+    s.targets.push_back({std::move(k), told == nullptr ? cedarplank::Listing::gone : told->listing});
   }
   s.store_bytes = store_.bytes(), s.store_limit = store_.limit(), s.segments = store_.segments().size();
   s.memory_kb = memory_kb(), s.descriptors = open_descriptors();
-  s.list_told = list_told_, s.list_index = platform_.index(), s.endpoints = endpoints_.size();
+  s.list_told = list_told_, s.list_index = platform_.index(), s.endpoints = directory_.size();
   return s;
 }
 
--- /dev/null
+++ b/tests/directory_test.cpp
@@ -0,0 +1,112 @@
+// Lists against what is known of endpoints: only what changed is told.
+#include "core/directory.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace heronvane {
+namespace {
+
+using cedarplank::Endpoint;
+using cedarplank::EndpointId;
+using cedarplank::Listing;
+
+Member member(const std::string& id, std::int64_t destination, Listing listing = Listing::active) {
+  Member m;
+  m.endpoint.id = id, m.endpoint.destination = destination, m.endpoint.listing = listing;
+  return m;
+}
+
+struct Taken {
+  Directory::Changes changes;
+  std::set<EndpointId> left;
+  std::size_t located = 0;
+};
+
+Taken take(Directory& d, std::vector<Member> members, bool snapshot) {
+  Taken t;
+  t.changes = d.take(
+      {1, snapshot, std::move(members)}, [&](const EndpointId& id) { t.left.insert(id); },
+      [&](const Member&) { t.located++; });
+  return t;
+}
+
+TEST(Directory, AListThatSaysNothingNewChangesNothing) {
+  Directory d;
+  EXPECT_EQ(take(d, {member("a", 1), member("b", 2)}, true).changes.endpoints.size(), 2u);
+  const auto again = take(d, {member("b", 2), member("a", 1)}, true);
+  EXPECT_TRUE(again.changes.endpoints.empty());
+  EXPECT_EQ(again.located, 2u);
+}
+
+TEST(Directory, WhatAWholeListDoesNotNameIsGone) {
+  Directory d;
+  take(d, {member("a", 1), member("b", 1)}, true);
+  const auto t = take(d, {member("a", 1)}, true);
+  ASSERT_EQ(t.changes.endpoints.size(), 1u);
+  EXPECT_EQ(t.changes.endpoints[0].id, "b");
+  EXPECT_EQ(t.changes.endpoints[0].listing, Listing::gone);
+  EXPECT_EQ(t.left, std::set<EndpointId>{"b"});
+  EXPECT_EQ(d.find("b"), nullptr);
+  EXPECT_TRUE(d.knows(1));
+  EXPECT_EQ(d.of(1), std::vector<EndpointId>{"a"});
+}
+
+TEST(Directory, OneThatMovesLeavesItsDestination) {
+  Directory d;
+  take(d, {member("a", 1)}, true);
+  const auto t = take(d, {member("a", 2)}, false);
+  EXPECT_EQ(t.changes.endpoints.size(), 1u);
+  EXPECT_TRUE(d.of(1).empty());
+  EXPECT_EQ(d.of(2), std::vector<EndpointId>{"a"});
+}
+
+TEST(Directory, RandomListsAgreeWithAPlainMap) {
+  std::mt19937_64 random(1);
+  Directory d;
+  std::map<EndpointId, Endpoint> plain;
+  for (int round = 0; round < 3'000; round++) {
+    const bool snapshot = random() % 5 == 0;
+    std::map<EndpointId, Member> named;
+    for (auto n = random() % 12; n > 0; n--) {
+      auto m = member("e" + std::to_string(random() % 20), static_cast<std::int64_t>(random() % 4));
+      const auto lot = random() % 6;
+      m.endpoint.listing = lot == 0 ? Listing::gone : lot == 1 ? Listing::draining : Listing::active;
+      named[m.endpoint.id] = m;
+    }
+    std::vector<Member> members;
+    for (const auto& [id, m] : named) members.push_back(m);
+    const auto t = take(d, members, snapshot);
+    const auto before = plain;
+    if (snapshot) plain.clear();
+    for (const auto& [id, m] : named)
+      m.endpoint.listing == Listing::gone ? void(plain.erase(id)) : void(plain[id] = m.endpoint);
+    // What was told, upon what was there, is what there is.
+    auto told = before;
+    std::set<EndpointId> once;
+    for (const auto& e : t.changes.endpoints) {
+      EXPECT_TRUE(once.insert(e.id).second) << e.id;
+      e.listing == Listing::gone ? void(told.erase(e.id)) : void(told[e.id] = e);
+    }
+    ASSERT_EQ(told.size(), plain.size());
+    ASSERT_EQ(d.size(), plain.size());
+    bool active = false;
+    for (const auto& [id, e] : plain) {
+      const auto* const found = d.find(id);
+      ASSERT_NE(found, nullptr);
+      EXPECT_EQ(found->listing, e.listing);
+      EXPECT_EQ(found->destination, e.destination);
+      EXPECT_EQ(told.at(id).listing, e.listing);
+      const auto& of = d.of(e.destination);
+      EXPECT_EQ(std::count(of.begin(), of.end(), id), 1);
+      active = active || e.listing == Listing::active;
+    }
+    EXPECT_EQ(d.any_active(), active);
+  }
+}
+
+}  // namespace
+}  // namespace heronvane
