Early rounds: what can be sent does not wait for the settings' tick where the operator lets it

Changed: relay/core/round_gap lets a round follow the last one after six times what rounds take, 0.8 ms at least and a tick at most, where something may be sent at once; all else comes with the tick. A call that finds all kept connections at rest opens another. Outcomes that come in one turn of the loop are written together.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -276,6 +276,9 @@
   // once there are four times as many. Changes nothing.
   void targets(Time now, std::size_t most, std::vector<TargetMemory>& known) const;
 
+  // How many messages are ready to go and were not sent.
+  std::size_t waiting() const;
+
   // How many endpoints, destinations, messages, order keys, calls and changes to give out are kept: a gauge
   // of memory.
   std::size_t kept() const;
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -147,8 +147,9 @@
     arm(call);
     return write(call);
   }
-  if (const Time since = kept_.longest_idle_since(call->endpoint); since >= 0)
-    return begin_at(call, since + kRest);
+  const Time since = kept_.longest_idle_since(call->endpoint);
+  const bool room = out_ + kept_.size() < limits_.connections;
+  if (since >= 0 && (limits_.wait_for_rest || !room)) return begin_at(call, since + kRest);
   connect(call, found->second);
 }
 
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -38,6 +38,7 @@
   Time idle = 0;                // endpoints close connections that were idle for so long
   std::size_t connections = 1;  // of calls out and kept ones together
   bool reports = false;         // answers may hold load reports
+  bool wait_for_rest = true;    // a call waits for a kept connection that rests, in place of opening one
 };
 
 class Calls {
--- /dev/null
+++ b/relay/core/round_gap.hpp
@@ -0,0 +1,36 @@
+// How soon a round may follow the last one. No clock: durations are handed in.
+//
+// Where the settings' tick binds, a tick. Elsewhere a message need not wait for it: rounds follow each other
+// after some times what one of them takes, so that under load they grow in place of their number.
+#pragma once
+
+#include <algorithm>
+
+#include "cedarplank/dispatcher.hpp"
+
+namespace heronvane {
+
+class RoundGap {
+ public:
+  using Time = cedarplank::Time;
+  RoundGap(Time tick, bool early) : tick_(tick), early_(early) {}
+
+  // After a round that took so long.
+  void ran(Time took) { mean_ += kGain * (static_cast<double>(std::max<Time>(took, 0)) - mean_); }
+  // From one round to the next at least: for what may be sent at once, and for all else.
+  Time urgent() const {
+    if (!early_) return tick_;
+    return std::clamp(static_cast<Time>(kTimes * mean_), std::min(kLeast, tick_), tick_);
+  }
+  Time usual() const { return tick_; }
+
+ private:
+  static constexpr double kGain = 0.1, kTimes = 6;  // weight of the newest; a seventh of the time in rounds
+  static constexpr Time kLeast = 800;               // microseconds
+
+  Time tick_;
+  bool early_;
+  double mean_ = 0;
+};
+
+}  // namespace heronvane
--- a/relay/operator_settings.cpp
+++ b/relay/operator_settings.cpp
@@ -84,7 +84,7 @@
 
 OperatorSettings read_operator_settings(const std::string& text, const std::string& file) {
   OperatorSettings s;
-  s.relay.wake = true;
+  s.relay.wake = s.relay.early_rounds = true;
   toml::table all;
   try {
     all = toml::parse(text, file);
@@ -106,6 +106,7 @@
       section.flag("drain", s.admin.drain);
     } else if (name == "relay") {
       section.flag("wake", s.relay.wake);
+      section.flag("early_rounds", s.relay.early_rounds);
     } else {
       section.word("durability",
                    {{"process", store::Durability::process}, {"machine", store::Durability::machine}},
--- a/relay/operator_settings.hpp
+++ b/relay/operator_settings.hpp
@@ -22,7 +22,9 @@
     bool drain = false;   // drains may be asked for, and end the process
   } admin;
   struct Relay {
-    bool wake = false;  // look at the list anew after a stop; true where a file is read that does not say
+    // True where a file is read that does not say:
+    bool wake = false;          // look at the list anew after a stop
+    bool early_rounds = false;  // what can be sent need not wait for the settings' tick
   } relay;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -37,6 +37,7 @@
   limits.idle = c.settings.connection_idle;
   limits.connections = c.endpoint_connections;
   limits.reports = c.reports_in_answers;
+  limits.wait_for_rest = !c.own.relay.early_rounds;
   return limits;
 }
 
@@ -105,6 +106,7 @@
             settle();
           }),
       recent_(longest_deadline(config.settings)),
+      round_gap_(config.settings.tick, config.own.relay.early_rounds),
       drain_(read_drain(store_.facts())),
       generation_(config.generation),
       beat_timer_(io),
@@ -224,7 +226,7 @@
     return reply({503, kComeBack});
   reply = shared(message.id, std::move(reply));
   arrived_.push_back({std::move(message), std::move(reply)});
-  schedule();
+  schedule(true);
 }
 
 // A reply that answers all that hand in this id until then.
@@ -243,8 +245,9 @@
     over(e.id);
   else if (store_.find(e.id) != nullptr)
     store_.outcome(e.id, e.attempt, e.outcome);
-  settle();
+  settle_soon();
   happened(e);
+  if (dispatcher_.waiting() > 0) schedule(true);
   // Guards against calls whose connections come up after the wait was told.
   if (e.told_wait > 0) hold_back(e.endpoint);
 }
@@ -320,10 +323,12 @@
   }
 }
 
-void Relay::schedule() {
-  if (round_due_) return;
-  round_due_ = true;
-  round_timer_.expires_after(span(last_round_ + config_.settings.tick - steady_now()));
+// The next round; `urgent` where something may be sent at once.
+void Relay::schedule(bool urgent) {
+  const Time at = last_round_ + (urgent ? round_gap_.urgent() : round_gap_.usual());
+  if (round_due_ && round_at_ <= at) return;
+  round_due_ = true, round_at_ = at;
+  round_timer_.expires_after(span(at - steady_now()));
   round_timer_.async_wait([this](error_code bad) {
     if (!bad) round();
   });
@@ -351,6 +356,7 @@
   unanswered_.clear();
   settle(std::move(plan));
   if (store_.wants_compaction()) compact();
+  round_gap_.ran(steady_now() - last_round_);
 }
 
 void Relay::decide(Plan& plan) {
@@ -444,8 +450,17 @@
   happened(e);
 }
 
+// Once for all outcomes that come in one turn of the loop.
+void Relay::settle_soon() {
+  if (std::exchange(settle_due_, true)) return;
+  net::post(io_, [this] {
+    if (std::exchange(settle_due_, false)) settle();
+  });
+}
+
 // Writes the records, then does what waited for them.
 void Relay::settle(Plan plan) {
+  settle_due_ = false;
   outbox_.put(std::move(plan));
   HERONVANE_POINT("commit.before");
   if (!store_.commit()) return not_written();
@@ -596,6 +611,7 @@
     outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
     settle();
   }
+  if (settle_due_) settle();
   const bool home = calls_.out() == 0 && (frozen_ || store_.held().empty());
   const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
   if (since >= kDrainMost || (home && quiet && !unwritten_ && outbox_.empty())) {
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -22,6 +22,7 @@
 #include "core/held_gauge.hpp"
 #include "core/list_memory.hpp"
 #include "core/outbox.hpp"
+#include "core/round_gap.hpp"
 #include "core/status.hpp"
 #include "core/target_memory.hpp"
 #include "core/wake.hpp"
@@ -75,7 +76,8 @@
     events_.emplace_back(std::move(event));
     schedule();
   }
-  void schedule();
+  void schedule(bool urgent = false);
+  void settle_soon();
   void round();
   void decide(Plan& plan);
   void settle(Plan plan = {});
@@ -151,7 +153,9 @@
   std::multimap<Time, std::uint64_t> timers_;
   Time last_round_ = 0, stop_at_ = 0;
   bool list_missed_ = false;  // the list changed meanwhile
-  bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
+  RoundGap round_gap_;
+  Time round_at_ = 0;  // when the next is due
+  bool round_due_ = false, settle_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
   DrainState drain_;
   bool changing_drain_ = false;  // until it is kept
   bool drained_failed_ = false;  // the file could not be written, as was told
--- a/relay/relay_fleet.cpp
+++ b/relay/relay_fleet.cpp
@@ -68,7 +68,7 @@
 }
 
 bool Relay::owes_nothing() const {
-  return store_.held().empty() && arrived_.empty() && outbox_.empty() && calls_.out() == 0 &&
+  return store_.held().empty() && arrived_.empty() && outbox_.empty() && calls_.out() == 0 && !settle_due_ &&
          !platform_.notices_owed() && !unwritten_ && !changing_drain_ && store_.durable() == store_.written();
 }
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1157,6 +1157,8 @@
          s.resting.size() + s.dirty.size() + s.swept.size();
 }
 
+std::size_t Dispatcher::waiting() const { return state_->waiting.size(); }
+
 std::vector<TargetMemory> Dispatcher::learned(Time now, std::size_t most) {
   return state_->learned(now, most);
 }
--- /dev/null
+++ b/tests/round_gap_test.cpp
@@ -0,0 +1,70 @@
+// What can be sent does not wait for the settings' tick where the operator lets rounds come early.
+#include "core/round_gap.hpp"
+
+#include <fstream>
+
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+TEST(RoundGap, BindsToTheTickUnlessEarly) {
+  RoundGap gap(5'000, false);
+  EXPECT_EQ(gap.urgent(), 5'000);
+  gap.ran(10);
+  EXPECT_EQ(gap.urgent(), 5'000);
+}
+
+TEST(RoundGap, GrowsWithWhatARoundTakesUpToTheTick) {
+  RoundGap gap(5'000, true);
+  const auto idle = gap.urgent();
+  EXPECT_LT(idle, 1'000);
+  for (int i = 0; i < 100; i++) gap.ran(300);
+  EXPECT_GT(gap.urgent(), 1'500);
+  EXPECT_LT(gap.urgent(), 5'000);
+  for (int i = 0; i < 100; i++) gap.ran(20'000);
+  EXPECT_EQ(gap.urgent(), 5'000);
+  EXPECT_EQ(gap.usual(), 5'000);
+  for (int i = 0; i < 100; i++) gap.ran(5);
+  EXPECT_EQ(gap.urgent(), idle);
+}
+
+TEST(RoundGap, NeverExceedsASmallTick) { EXPECT_LE(RoundGap(100, true).urgent(), 100); }
+
+#ifdef HERONVANE_SETTINGS_FILE
+class EarlyRounds : public RelayTest {
+ protected:
+  EarlyRounds() { tick = 2'000'000; }
+  // How long each of some messages took from its client to the endpoint.
+  std::chrono::steady_clock::duration longest_of(int count) {
+    std::chrono::steady_clock::duration longest{};
+    for (int i = 0; i < count; i++) {
+      const auto before = endpoint.got.size();
+      const auto begun = std::chrono::steady_clock::now();
+      const auto client = connect();
+      client->write(request("m" + std::to_string(i), "pay-and-order", "x", "24000m"));
+      wait_for([&] { return endpoint.got.size() > before; }, "the call");
+      longest = std::max(longest, std::chrono::steady_clock::now() - begun);
+    }
+    return longest;
+  }
+};
+
+TEST_F(EarlyRounds, SendWhatNeedNotWait) {
+  const std::string file = folder + "/settings.toml";
+  std::ofstream(file) << "[relay]\nearly_rounds = true\n";
+  ::setenv("HERONVANE_SETTINGS", file.c_str(), 1);
+  start();
+  ::unsetenv("HERONVANE_SETTINGS");
+  // In sum far less than the tick of one.
+  EXPECT_LT(longest_of(4), std::chrono::microseconds(tick));
+}
+
+TEST_F(EarlyRounds, AreOffWithoutTheOperatorsWord) {
+  start();
+  EXPECT_GT(longest_of(2), std::chrono::microseconds(tick) / 2);
+}
+#endif
+
+}  // namespace
+}  // namespace heronvane::testing
