Lists are read in slices, and told to the module in parts

Changed: relay/core/list_reader reads a list 32 KiB at a time, other work going on between; a watch reads its next line after that. The module hears of 1,000 endpoints a round. A list may take an eighth of memory_mb, 4 MiB at least.

--- /dev/null
+++ b/relay/core/list_reader.hpp
@@ -0,0 +1,38 @@
+// A list of endpoints, read in slices: as read_members() reads it, a stretch of the text at a time, so that a
+// list of many thousands does not hold up whoever reads it. No input or output here.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "members.hpp"
+#include "settings.hpp"
+
+namespace heronvane {
+
+class ListReader {
+ public:
+  // `names` must outlive it.
+  ListReader(std::string text, const cedarplank::adapter::Tables& names);
+
+  // Reads about so many bytes more; true once all is read. Throws WireError on what can't be read, naming the
+  // field; nothing of the list counts then.
+  bool step(std::size_t bytes);
+  // Once all is read: the list, which goes with it.
+  MemberList take() { return std::move(list_); }
+
+ private:
+  void element();
+  void finish();
+
+  std::string text_;
+  const cedarplank::adapter::Tables& names_;
+  MemberList list_;
+  std::string frame_;  // the text without the endpoints
+  std::size_t at_ = 0, copied_ = 0, begin_ = 0, string_ = 0;
+  int depth_ = 0;
+  bool in_string_ = false, in_list_ = false, done_ = false;
+  std::string last_;  // the string read last, at the outermost level
+};
+
+}  // namespace heronvane
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -5,12 +5,14 @@
 #include <rapidjson/writer.h>
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
 
 #include "answer.hpp"
+#include "core/list_reader.hpp"
 #include "fail_points.hpp"
 #include "log.hpp"
 
@@ -26,7 +28,7 @@
 
 // An empty line comes every 2 s: a watch without one for so long is dead, though its connection stands.
 constexpr auto kSilent = std::chrono::seconds(6);
-constexpr std::size_t kMostList = 4 << 20;  // bytes of a list
+constexpr std::size_t kSlice = 32 * 1024;  // bytes of a list that are read in one go
 constexpr auto kPostTime = std::chrono::seconds(1);
 constexpr auto kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::milliseconds(1000);
 constexpr unsigned kUnreadable = 400;
@@ -34,17 +36,19 @@
 }  // namespace
 
 struct Platform::Query {
-  Query(net::io_context& io, bool f) : follow(f), socket(io), timer(io) {
+  Query(net::io_context& io, bool f, std::size_t most_list)
+      : follow(f), socket(io), timer(io), buffer(most_list) {
     // A watch goes on for ever. Beast 1.74 takes no limit for a limit of nothing where a length is announced.
-    f ? parser.body_limit(boost::none) : parser.body_limit(kMostList);
+    f ? parser.body_limit(boost::none) : parser.body_limit(most_list);
   }
   bool follow, over = false;
   tcp::socket socket;
   net::steady_timer timer;
-  beast::flat_buffer buffer{kMostList};
+  beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
-  std::string text;  // of a line that is not whole yet
+  std::string text;                  // that has come and is not read
+  std::optional<ListReader> reader;  // of the list that is being read
 };
 
 struct Platform::Post {
@@ -61,12 +65,13 @@
 };
 
 Platform::Platform(net::io_context& io, const tcp::endpoint& address,
-                   const cedarplank::adapter::Tables& names, std::int64_t index, Listed listed, Failed failed,
-                   Noticed noticed)
+                   const cedarplank::adapter::Tables& names, std::int64_t index, std::size_t most_list,
+                   Listed listed, Failed failed, Noticed noticed)
     : io_(io),
       address_(address),
       names_(names),
       index_(index),
+      most_list_(most_list),
       listed_(std::move(listed)),
       failed_(std::move(failed)),
       noticed_(std::move(noticed)),
@@ -122,7 +127,7 @@
 void Platform::ask(bool follow) {
   if (follow) drop(watch_);
   if (!follow && fetch_) return;
-  const auto query = std::make_shared<Query>(io_, follow);
+  const auto query = std::make_shared<Query>(io_, follow, most_list_);
   (follow ? watch_ : fetch_) = query;
   guard(query);
   query->socket.async_connect(address_, [this, query, follow](error_code bad) {
@@ -159,56 +164,82 @@
           query->text += query->parser.get().body();
           query->parser.get().body().clear();
           if (query->follow && query->text.find('\n') != std::string::npos) guard(query);
-          if (query->text.size() > kMostList) return end(query, "a list too long");
-          if (query->follow && !lines(*query)) return end(query, "a line that can't be read");
-          if (query->over) return;
+          if (query->text.size() > most_list_) return end(query, "a list too long");
+          if (query->follow) return lines(query);
         }
         if (!query->parser.is_done()) return read(query);
         if (query->follow) return end(query, "ended");
-        query->over = true;
         query->timer.cancel();
-        fetch_.reset();
-        if (!line(query->text, false)) {
-          log("discovery: list: can't be read");
-          failed_();
-        }
-        refreshed();
+        query->reader.emplace(std::move(query->text), names_);
+        whole(query);
       });
 }
 
-// Takes the whole lines that have come.
-bool Platform::lines(Query& query) {
+// Reads on in the list; true once all of it is read. Throws WireError.
+bool Platform::slice(Query& query) { return query.reader->step(kSlice); }
+
+// Takes the whole lines that have come, then reads on. A long one is read in slices, so that clients don't
+// wait.
+void Platform::lines(const std::shared_ptr<Query>& query) {
   std::size_t at = 0;
-  for (std::size_t end; (end = query.text.find('\n', at)) != std::string::npos; at = end + 1) {
-    const std::string one = query.text.substr(at, end - at);
-    if (one.find_first_not_of(" \r\t") != std::string::npos && !line(one, true)) return false;
-    if (query.over) return true;
+  try {
+    while (!query->over) {
+      if (!query->reader) {
+        const std::size_t line_end = query->text.find('\n', at);
+        if (line_end == std::string::npos) break;
+        std::string one = query->text.substr(at, line_end - at);
+        at = line_end + 1;
+        if (one.find_first_not_of(" \r\t") == std::string::npos) continue;
+        query->reader.emplace(std::move(one), names_);
+      }
+      if (!slice(*query)) {
+        query->text.erase(0, at);
+        return net::post(io_, [this, query] { lines(query); });
+      }
+      MemberList list = query->reader->take();
+      query->reader.reset();
+      told(std::move(list), true);
+    }
+  } catch (const cedarplank::adapter::WireError& e) {
+    log(std::string("discovery: ") + e.what());
+    return end(query, "a line that can't be read");
   }
-  query.text.erase(0, at);
-  return true;
+  if (query->over) return;
+  query->text.erase(0, at);
+  query->parser.is_done() ? end(query, "ended") : read(query);
 }
 
-bool Platform::line(const std::string& text, bool follow) {
-  rapidjson::Document v;
-  // Not by recursion, which thousands of open brackets would take past the stack's end.
-  v.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
-  if (v.HasParseError()) return false;
+// Reads the list that was asked for once.
+void Platform::whole(const std::shared_ptr<Query>& query) {
+  if (query->over) return;
+  std::optional<MemberList> list;
   try {
-    MemberList list = read_members(v, "members", names_);
-    // What a whole list says after a move is all there is; changes alone leave in what went before them. One
-    // that was overtaken by the watch is asked for again.
-    const bool overtaken = !follow && watch_ && list.index < index_;
-    whole_due_ = whole_due_ && (!list.snapshot || overtaken);
-    if (!overtaken) {
-      index_ = list.index;
-      listed_(std::move(list));
-    }
-    if (whole_due_) fetch();
-    return true;
+    if (!slice(*query)) return net::post(io_, [this, query] { whole(query); });
+    list = query->reader->take();
   } catch (const cedarplank::adapter::WireError& e) {
     log(std::string("discovery: ") + e.what());
-    return false;
   }
+  query->over = true;
+  fetch_.reset();
+  if (list) {
+    told(std::move(*list), false);
+  } else {
+    log("discovery: list: can't be read");
+    failed_();
+  }
+  refreshed();
+}
+
+void Platform::told(MemberList list, bool follow) {
+  // What a whole list says after a move is all there is; changes alone leave in what went before them. One
+  // that was overtaken by the watch is asked for again.
+  const bool overtaken = !follow && watch_ && list.index < index_;
+  whole_due_ = whole_due_ && (!list.snapshot || overtaken);
+  if (!overtaken) {
+    index_ = list.index;
+    listed_(std::move(list));
+  }
+  if (whole_due_) fetch();
 }
 
 void Platform::end(const std::shared_ptr<Query>& query, const std::string& why) {
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -23,8 +23,8 @@
   using Noticed = std::function<void(const std::vector<MessageId>&)>;
 
   Platform(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-           const cedarplank::adapter::Tables& names, std::int64_t index, Listed listed, Failed failed,
-           Noticed noticed);
+           const cedarplank::adapter::Tables& names, std::int64_t index, std::size_t most_list, Listed listed,
+           Failed failed, Noticed noticed);
   ~Platform();
 
   void watch();  // changes from now on; `failed` tells its end
@@ -47,8 +47,10 @@
   void ask(bool follow);
   void drop(std::shared_ptr<Query>& query);
   void read(const std::shared_ptr<Query>& query);
-  bool lines(Query& query);
-  bool line(const std::string& text, bool follow);
+  void lines(const std::shared_ptr<Query>& query);
+  void whole(const std::shared_ptr<Query>& query);
+  bool slice(Query& query);
+  void told(MemberList list, bool follow);
   void end(const std::shared_ptr<Query>& query, const std::string& why);
   void refreshed();
   void guard(const std::shared_ptr<Query>& query);
@@ -59,8 +61,9 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
-  const cedarplank::adapter::Tables& names_;
+  const cedarplank::adapter::Tables& names_;  // outlives this
   std::int64_t index_;
+  const std::size_t most_list_;  // bytes of a list
   Listed listed_;
   Failed failed_;
   Noticed noticed_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -41,6 +41,12 @@
   return limits;
 }
 
+// A list may take a part of the memory; 4 MiB hold 30,000 endpoints.
+std::size_t most_list(const Config& c) {
+  constexpr std::size_t kLeast = 4 << 20, kPart = 8;
+  return std::max<std::size_t>(kLeast, c.memory_bytes / kPart);
+}
+
 store::Options store_options(const Config& c) {
   store::Options options;
   options.limit_bytes = c.disk_bytes;
@@ -99,7 +105,7 @@
           io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); },
           [this] { return turned(); }),
       platform_(
-          io, config.discovery, config.names, config.known.index,
+          io, config.discovery, config.names, config.known.index, most_list(config),
           [this](MemberList list) { listed(std::move(list)); }, [this] { happened(event::ListFailed{}); },
           [this](const std::vector<MessageId>& ids) {
             for (const MessageId id : ids) over(id);
@@ -284,8 +290,26 @@
   if (unwritten_)
     list_missed_ = true;
   else
-    happened(event::ListChanges{changes.endpoints});
-  recall(changes.endpoints);
+    tell_listed(changes.endpoints);
+}
+
+// In parts: a module that is told of thousands at once would hold up clients.
+void Relay::tell_listed(const std::vector<cedarplank::Endpoint>& endpoints) {
+  constexpr std::size_t kMost = 1'000;
+  const bool others = !listed_later_.empty();
+  for (std::size_t at = 0; at == 0 || at < endpoints.size(); at += kMost)
+    listed_later_.emplace_back(
+        endpoints.begin() + static_cast<std::ptrdiff_t>(at),
+        endpoints.begin() + static_cast<std::ptrdiff_t>(std::min(at + kMost, endpoints.size())));
+  if (!others) tell_next_listed();
+}
+
+void Relay::tell_next_listed() {
+  if (listed_later_.empty()) return;
+  const auto part = std::move(listed_later_.front());
+  listed_later_.pop_front();
+  happened(event::ListChanges{part});
+  recall(part);
 }
 
 // What earlier lives learned of endpoints that are listed now is the module's again.
@@ -351,6 +375,7 @@
   if (!frozen_ && !unwritten_) {
     decide(plan);
     remember_targets();
+    tell_next_listed();
   }
   for (auto& [id, reply] : unanswered_) plan.answers.push_back({id, std::move(reply), {202, 0}});
   unanswered_.clear();
@@ -469,6 +494,7 @@
   if (std::exchange(unwritten_, false)) {
     for (const auto& [key, value] : std::exchange(kept_meanwhile_, {})) store_.keep(key, value);
     if (std::exchange(list_missed_, false)) {
+      listed_later_.clear();
       const auto all = directory_.all();
       happened(event::ListWhole{all, false});
       recall(all);
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -65,6 +66,8 @@
   std::unique_ptr<Peers> hear_peers();
   std::unique_ptr<store::SyncThread> sync_thread();
   void recover();
+  void tell_listed(const std::vector<cedarplank::Endpoint>& endpoints);
+  void tell_next_listed();
   void recall(const std::vector<cedarplank::Endpoint>& endpoints);
   bool keep(const std::string& key, const std::string& value);
   void remember_targets();
@@ -145,9 +148,10 @@
   std::map<MessageId, Reply> unanswered_;                // taken in this round
   // Ids that wait for their answer, with those that handed the same one in meanwhile.
   std::unordered_map<std::string, std::vector<Reply>> twins_;
-  RecentIds recent_;        // taken on and over; those that may run again
-  HeldGauge gauge_;         // kept where there is an admin socket
-  bool list_told_ = false;  // by discovery, in this life
+  RecentIds recent_;                                            // taken on and over; those that may run again
+  HeldGauge gauge_;                                             // kept where there is an admin socket
+  bool list_told_ = false;                                      // by discovery, in this life
+  std::deque<std::vector<cedarplank::Endpoint>> listed_later_;  // told by a list, not to the module yet
   std::vector<Arrived> arrived_;
   std::vector<cedarplank::Event> events_;
   std::multimap<Time, std::uint64_t> timers_;
