A long list is told in parts, too: none holds the loop for more than a few milliseconds

Changed: Platform hands a list over 2,000 entries at a time. Its parts bear the list's number: what a whole list does not name is gone with its last part, unless another whole list has begun meanwhile; changes that come between count. The index moves on with the last part, so what is broken off is asked for anew.

--- a/relay/core/directory.cpp
+++ b/relay/core/directory.cpp
@@ -33,7 +33,7 @@
 void Directory::put(const Endpoint& endpoint, Changes& changes) {
   const auto [it, fresh] = endpoints_.try_emplace(endpoint.id);
   Entry& entry = it->second;
-  entry.named_by = lists_;
+  entry.named = whole_;
   if (!fresh && same(entry.endpoint, endpoint)) return;
   if (!fresh && entry.endpoint.destination != endpoint.destination)
     leave(entry.endpoint.destination, endpoint.id);
@@ -59,7 +59,7 @@
 
 Directory::Changes Directory::take(const MemberList& list, const Left& left, const Located& located) {
   Changes changes;
-  lists_++;
+  if (list.snapshot && list.begins) whole_ = list.serial;
   for (const Member& m : list.members) {
     located(m);
     if (m.endpoint.listing != Listing::gone) {
@@ -76,9 +76,9 @@
       changes.unfit.push_back(m.endpoint.id);
     }
   }
-  if (list.snapshot)
+  if (list.snapshot && list.ends && list.serial == whole_)
     for (auto it = endpoints_.begin(); it != endpoints_.end();) {
-      if (it->second.named_by == lists_) {
+      if (it->second.named == whole_) {
         ++it;
         continue;
       }
--- a/relay/core/directory.hpp
+++ b/relay/core/directory.hpp
@@ -25,8 +25,9 @@
     std::vector<cedarplank::EndpointId> unfit;
   };
 
-  // Takes a list, or changes. Of a whole list (`snapshot`) what it does not name is gone, and told `left`
-  // before it is forgotten. Addresses are not kept here: `located` hears of each that is named.
+  // Takes a list, or changes, or a part of one. Of a whole list (`snapshot`) what it does not name is gone,
+  // and told `left` before it is forgotten: with its last part, unless another whole list has begun
+  // meanwhile. Addresses are not kept here: `located` hears of each that is named.
   using Left = std::function<void(const cedarplank::EndpointId&)>;
   using Located = std::function<void(const Member&)>;
   Changes take(const MemberList& list, const Left& left, const Located& located);
@@ -47,7 +48,7 @@
  private:
   struct Entry {
     cedarplank::Endpoint endpoint;
-    std::uint64_t named_by = 0;  // the list that named it last
+    std::uint64_t named = 0;  // the whole list since whose begin it was named last
   };
   using Entries = std::unordered_map<cedarplank::EndpointId, Entry>;
 
@@ -59,7 +60,7 @@
   std::unordered_map<cedarplank::DestinationId, std::vector<cedarplank::EndpointId>> by_destination_;
   std::unordered_set<cedarplank::DestinationId> named_;
   std::size_t active_ = 0;
-  std::uint64_t lists_ = 0;
+  std::uint64_t whole_ = 0;  // the whole list that began last
 };
 
 }  // namespace heronvane
--- a/relay/members.hpp
+++ b/relay/members.hpp
@@ -19,6 +19,9 @@
   std::int64_t index = 0;
   bool snapshot = false;  // the whole list, else what changed
   std::vector<Member> members;
+  // A long list comes in parts; lists may come between those of another one.
+  std::uint64_t serial = 0;  // of the list: the same for all of its parts, above those of earlier ones
+  bool begins = true, ends = true;
 };
 
 // Throws WireError, naming the field, on what can't be read.
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -29,6 +29,7 @@
 // An empty line comes every 2 s: a watch without one for so long is dead, though its connection stands.
 constexpr auto kSilent = std::chrono::seconds(6);
 constexpr std::size_t kSlice = 32 * 1024;  // bytes of a list that are read in one go
+constexpr std::size_t kPart = 2'000;       // entries of it that are told in one go
 constexpr auto kPostTime = std::chrono::seconds(1);
 constexpr auto kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::milliseconds(1000);
 constexpr unsigned kUnreadable = 400;
@@ -49,6 +50,8 @@
   http::response_parser<http::string_body> parser;
   std::string text;                  // that has come and is not read
   std::optional<ListReader> reader;  // of the list that is being read
+  std::optional<MemberList> list;    // that is being told
+  std::size_t told = 0;              // of its entries
 };
 
 struct Platform::Post {
@@ -175,8 +178,16 @@
       });
 }
 
-// Reads on in the list; true once all of it is read. Throws WireError.
-bool Platform::slice(Query& query) { return query.reader->step(kSlice); }
+// Reads and tells on in the list; true once all of it is told. Throws WireError.
+bool Platform::slice(Query& query) {
+  if (query.reader) {
+    if (!query.reader->step(kSlice)) return false;
+    query.list = query.reader->take(), query.told = 0;
+    query.list->serial = ++serial_;
+    query.reader.reset();
+  }
+  return hand_over(query);
+}
 
 // Takes the whole lines that have come, then reads on. A long one is read in slices, so that clients don't
 // wait.
@@ -184,7 +195,7 @@
   std::size_t at = 0;
   try {
     while (!query->over) {
-      if (!query->reader) {
+      if (!query->reader && !query->list) {
         const std::size_t line_end = query->text.find('\n', at);
         if (line_end == std::string::npos) break;
         std::string one = query->text.substr(at, line_end - at);
@@ -196,9 +207,6 @@
         query->text.erase(0, at);
         return net::post(io_, [this, query] { lines(query); });
       }
-      MemberList list = query->reader->take();
-      query->reader.reset();
-      told(std::move(list), true);
     }
   } catch (const cedarplank::adapter::WireError& e) {
     log(std::string("discovery: ") + e.what());
@@ -212,34 +220,48 @@
 // Reads the list that was asked for once.
 void Platform::whole(const std::shared_ptr<Query>& query) {
   if (query->over) return;
-  std::optional<MemberList> list;
+  bool readable = true;
   try {
     if (!slice(*query)) return net::post(io_, [this, query] { whole(query); });
-    list = query->reader->take();
   } catch (const cedarplank::adapter::WireError& e) {
     log(std::string("discovery: ") + e.what());
+    readable = false;
   }
+  if (query->over) return;
   query->over = true;
   fetch_.reset();
-  if (list) {
-    told(std::move(*list), false);
-  } else {
+  if (!readable) {
     log("discovery: list: can't be read");
     failed_();
   }
+  if (whole_due_ && readable) fetch();
   refreshed();
 }
 
-void Platform::told(MemberList list, bool follow) {
-  // What a whole list says after a move is all there is; changes alone leave in what went before them. One
-  // that was overtaken by the watch is asked for again.
-  const bool overtaken = !follow && watch_ && list.index < index_;
-  whole_due_ = whole_due_ && (!list.snapshot || overtaken);
+// The next part of the list; true with the last one.
+bool Platform::hand_over(Query& query) {
+  MemberList& list = *query.list;
+  // One that was overtaken by the watch is asked for again.
+  const bool overtaken = !query.follow && watch_ && list.index < index_;
+  const std::size_t left = list.members.size() - query.told, count = overtaken ? left : std::min(left, kPart);
   if (!overtaken) {
-    index_ = list.index;
-    listed_(std::move(list));
+    MemberList part;
+    part.index = list.index, part.snapshot = list.snapshot, part.serial = list.serial;
+    part.begins = query.told == 0, part.ends = count == left;
+    const auto from = list.members.begin() + static_cast<std::ptrdiff_t>(query.told);
+    part.members.assign(std::make_move_iterator(from),
+                        std::make_move_iterator(from + static_cast<std::ptrdiff_t>(count)));
+    // Only now: what is broken off is asked for anew.
+    if (part.ends) index_ = list.index;
+    listed_(std::move(part));
   }
-  if (whole_due_) fetch();
+  query.told += count;
+  if (count < left) return false;
+  // What a whole list says after a move is all there is; changes alone leave in what went before them.
+  whole_due_ = whole_due_ && (!list.snapshot || overtaken);
+  query.list.reset();
+  if (whole_due_ && query.follow) fetch();
+  return true;
 }
 
 void Platform::end(const std::shared_ptr<Query>& query, const std::string& why) {
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -50,7 +50,7 @@
   void lines(const std::shared_ptr<Query>& query);
   void whole(const std::shared_ptr<Query>& query);
   bool slice(Query& query);
-  void told(MemberList list, bool follow);
+  bool hand_over(Query& query);
   void end(const std::shared_ptr<Query>& query, const std::string& why);
   void refreshed();
   void guard(const std::shared_ptr<Query>& query);
@@ -63,6 +63,7 @@
   boost::asio::ip::tcp::endpoint address_;
   const cedarplank::adapter::Tables& names_;  // outlives this
   std::int64_t index_;
+  std::uint64_t serial_ = 0;     // of the list told last
   const std::size_t most_list_;  // bytes of a list
   Listed listed_;
   Failed failed_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -280,7 +280,7 @@
   const auto changes = directory_.take(
       list, [&](const EndpointId& id) { list_memory_.gone(id, list.index, discovery, now); },
       [this](const Member& m) { calls_.locate(m.endpoint.id, m.address); });
-  list_told_ = true;
+  list_told_ = list_told_ || list.ends;
   for (const auto& id : changes.unfit) {
     keep_from(id);
     calls_.close_idle(id);
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -27,9 +27,10 @@
 };
 
 Taken take(Directory& d, std::vector<Member> members, bool snapshot) {
+  static std::uint64_t serial = 0;
   Taken t;
   t.changes = d.take(
-      {1, snapshot, std::move(members)}, [&](const EndpointId& id) { t.left.insert(id); },
+      {1, snapshot, std::move(members), ++serial}, [&](const EndpointId& id) { t.left.insert(id); },
       [&](const Member&) { t.located++; });
   return t;
 }
@@ -64,6 +65,28 @@
   EXPECT_EQ(d.of(2), std::vector<EndpointId>{"a"});
 }
 
+TEST(Directory, AListInPartsTellsWhatIsGoneWithItsLast) {
+  Directory d;
+  take(d, {member("a", 1), member("b", 1), member("c", 1)}, true);
+  const auto part = [&](std::uint64_t serial, std::vector<Member> members, bool begins, bool ends) {
+    return d.take(
+        {2, true, std::move(members), serial, begins, ends}, [](const EndpointId&) {}, [](const Member&) {});
+  };
+  EXPECT_TRUE(part(1'000, {member("a", 1)}, true, false).endpoints.empty());
+  // Changes that come between its parts are newer than it.
+  take(d, {member("d", 1)}, false);
+  const auto last = part(1'000, {member("b", 1)}, false, true);
+  ASSERT_EQ(last.endpoints.size(), 1u);
+  EXPECT_EQ(last.endpoints[0].id, "c");
+  EXPECT_NE(d.find("d"), nullptr);
+  // One that another whole list overtakes takes nothing away.
+  EXPECT_TRUE(part(2'000, {member("a", 1)}, true, false).endpoints.empty());
+  EXPECT_TRUE(part(2'001, {member("b", 1)}, true, false).endpoints.empty());
+  EXPECT_TRUE(part(2'000, {}, false, true).endpoints.empty());
+  EXPECT_EQ(part(2'001, {member("d", 1)}, false, true).endpoints.size(), 1u);
+  EXPECT_EQ(d.find("a"), nullptr);
+}
+
 TEST(Directory, RandomListsAgreeWithAPlainMap) {
   std::mt19937_64 random(1);
   Directory d;
