A list in slices: the first one of that name counts, and nothing behind the object's end

Need: a fuzz target that reads each text both ways found a text with a zero byte and a second object behind it that was read otherwise in slices than at once.

--- a/relay/core/list_reader.cpp
+++ b/relay/core/list_reader.cpp
@@ -40,8 +40,10 @@
   frame_.append(text_, copied_);
   rapidjson::Document v;
   parse(v, frame_.data(), frame_.size());
-  const auto frame = read_members(v, kPath, names_);
+  auto frame = read_members(v, kPath, names_);
   list_.index = frame.index, list_.snapshot = frame.snapshot;
+  // Not cut out of it.
+  if (!frame.members.empty()) list_.members = std::move(frame.members);
   done_ = true;
 }
 
@@ -51,6 +53,8 @@
     const char c = text_[at_];
     if (in_string_) {
       if (c == '\\') {
+        // A name may be written in more than one way: then it is all read as the frame.
+        if (depth_ == 1) cut_ = false;
         at_++;
       } else if (c == '"') {
         in_string_ = false;
@@ -65,8 +69,8 @@
       case '{':
       case '[':
         // The array behind "endpoints" in the outermost object; its entries are cut out of the frame.
-        if (++depth_ == 2 && c == '[' && last_ == "endpoints") {
-          in_list_ = true;
+        if (++depth_ == 2 && c == '[' && cut_ && last_ == "endpoints") {
+          in_list_ = true, cut_ = false;  // the first of that name counts
           frame_.append(text_, copied_, at_ + 1 - copied_);
           begin_ = at_ + 1;
         }
@@ -80,7 +84,7 @@
           if (some) element();
           in_list_ = false, copied_ = at_;
         }
-        depth_--;
+        if (--depth_ <= 0) cut_ = false;
         break;
       case ',':
         if (!in_list_ || depth_ != 2) break;
--- a/relay/core/list_reader.hpp
+++ b/relay/core/list_reader.hpp
@@ -32,6 +32,7 @@
   std::size_t at_ = 0, copied_ = 0, begin_ = 0, string_ = 0;
   int depth_ = 0;
   bool in_string_ = false, in_list_ = false, done_ = false;
+  bool cut_ = true;   // its entries may yet be cut out of the frame
   std::string last_;  // the string read last, at the outermost level
 };
 
