The lab: many real relays, faults between any two parties, judged from outside

Need: what is to be proven next is how many processes behave together when parts break, and each rig had a small world of its own.

Endpoints of standins/ tell all that happens to a call and may be told what becomes of it; clients may keep to one relay. The test program has 16 defects to be found (relay/fail_points.hpp; nothing of it in shipped programs).

--- /dev/null
+++ b/lab/destination.hpp
@@ -0,0 +1,81 @@
+// What one destination does with the calls of all relays: its limit, told waits, outages, a cold return, and
+// how it falls over when it is pushed (BRIEF, "returning destinations"). No I/O and no clock: equal options,
+// seed and calls give equal fates.
+#pragma once
+
+#include <boost/random/mersenne_twister.hpp>
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "plan.hpp"
+#include "standins/behaviour.hpp"
+
+namespace heronvane::lab {
+
+enum class Outage { none, down, silent, shut, failing };
+
+// It fell over: what it was sent in OverloadFor, all messages, and those of relays that had seen a call fail
+// or be refused there during the outage before.
+struct Fall {
+  Time at = 0;
+  double sent = 0, by_those_who_saw = 0, took = 0;  // messages; `took`: what it could take in that time
+};
+
+class Destination {
+ public:
+  Destination(const Destinations& options, const PlannedDestination& planned, std::uint64_t seed);
+
+  // A call with so many messages comes to the `lane`-th of its endpoints (0 where routes are not apart) at
+  // `now`, which never goes back.
+  standins::Fate call(Time now, Index lane, Index relay, std::size_t messages);
+
+  // All lanes, or one. `down` is for the one who listens: nothing arrives here while it lasts.
+  void outage(Time now, Outage kind, std::optional<Index> lane);
+  // Ends one of that kind; with the last one that lasts it returns, cold.
+  void over(Time now, Outage kind, std::optional<Index> lane);
+  void saw_failure(Index relay, Index lane);       // a relay met it while it was down
+  void limit(double factor) { factor_ = factor; }  // of the usual
+
+  Outage state(Time now, Index lane);
+  double capacity(Time now, Index lane) const;  // messages a second that it takes now; 0 while it is out
+  double capacity(Time now) const;              // of all lanes together
+  std::size_t lanes() const { return lanes_.size(); }
+  std::vector<Fall> take_falls();  // those since the last call
+
+ private:
+  struct Sent {
+    Time at;
+    Index relay;
+    double messages;
+  };
+  struct Lane {
+    std::vector<Outage> outages;  // that last, the latest at the end
+    Outage outage() const { return outages.empty() ? Outage::none : outages.back(); }
+    std::optional<Time> returned;  // from an outage
+    std::optional<Time> fallen_until;
+    double tokens = 0;
+    Time filled = 0;
+    std::set<Index> saw;      // relays that met the outage
+    std::deque<Sent> recent;  // of the last OverloadFor, while it is cold
+  };
+  double limit_now() const { return planned_.limit_per_s * factor_; }
+  double warmth(Time now, const Lane& lane) const;
+  double burst(const Lane& lane, Time now) const;
+  Time draw_time();
+  void pushed(Time now, Lane& lane, Index relay, double messages);
+  Lane& lane_of(Index lane) { return lanes_[lane < lanes_.size() ? lane : 0]; }
+  const Lane& lane_of(Index lane) const { return lanes_[lane < lanes_.size() ? lane : 0]; }
+  void settle(Time now, Lane& lane);
+
+  Destinations options_;
+  PlannedDestination planned_;
+  boost::random::mt19937_64 random_;
+  double factor_ = 1;
+  std::vector<Lane> lanes_;
+  std::vector<Fall> falls_;
+};
+
+}  // namespace heronvane::lab
--- a/relay/fail_points.hpp
+++ b/relay/fail_points.hpp
@@ -13,6 +13,9 @@
 // Operations that need room are write, create and allocate. They fail with ENOSPC; a write may leave a part
 // of its bytes.
 //
+//   HERONVANE_DEFECT=name      the process has that defect, for the tests of who has to find it (tests/lab): at
+//                              HERONVANE_DEFECT(name) in the sources it does what is wrong
+//
 // Points: `disk.OPERATION.before` and `.after` around each operation of the store's Disk that changes
 // something, `disk.write.part` in the middle of a write; elsewhere as they stand in the sources.
 #pragma once
@@ -28,17 +31,26 @@
 
 // Safe to call from any thread.
 void fail_point(const char* name);
+bool has_defect(const char* name);
+bool has_defect_now(const char* name);  // each twentieth time that it is asked
+bool second_life();                     // the folder that lasts held records when this was first asked
 // The disk with points around its operations, which fails as the environment says.
 std::unique_ptr<store::Disk> failing(std::unique_ptr<store::Disk> disk);
 
 }  // namespace heronvane
 
 #define HERONVANE_POINT(name) ::heronvane::fail_point(name)
+#define HERONVANE_DEFECT(name) ::heronvane::has_defect(name)
+#define HERONVANE_DEFECT_NOW(name) ::heronvane::has_defect_now(name)
+#define HERONVANE_SECOND_LIFE() ::heronvane::second_life()
 #define HERONVANE_FAILING(disk) ::heronvane::failing(disk)
 
 #else
 
 #define HERONVANE_POINT(name) static_cast<void>(0)
+#define HERONVANE_DEFECT(name) false
+#define HERONVANE_DEFECT_NOW(name) false
+#define HERONVANE_SECOND_LIFE() false
 #define HERONVANE_FAILING(disk) disk
 
 #endif
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -166,6 +166,7 @@
 
 // What was taken on in an earlier life is still owed its end.
 void Relay::recover() {
+  if (HERONVANE_DEFECT("forget-folder")) return;
   std::vector<MessageId> unknown;
   const Time now = store_.clock().now();
   for (const auto& [id, held] : store_.held()) {
@@ -189,6 +190,7 @@
     }
     // Called at a time and place that no record tells.
     if (held.doubt) r.may_have_run_zone = -1, r.may_have_run_ago = kLongAgo;
+    if (HERONVANE_DEFECT("forget-attempt")) r.may_have_run_zone.reset();
     events_.push_back(std::move(r));
   }
   Plan plan;
@@ -210,6 +212,7 @@
 }
 
 bool Relay::ready() const {
+  if (HERONVANE_DEFECT("never-ready-again") && HERONVANE_SECOND_LIFE()) return false;
   return !stopping_ && !drain_.drain && !unwritten_ && store_.trouble().empty() && directory_.any_active();
 }
 
@@ -222,6 +225,8 @@
   // must not be sent again either.
   if (numbers_.count(message.id) > 0 || store_.remembers(message.id) || recent_.has(message.id))
     return reply({202, 0});
+  if (HERONVANE_DEFECT_NOW("forget-message")) return reply({202, 0});
+  if (HERONVANE_DEFECT_NOW("crash")) std::abort();
   if (drain_.drain) return reply({503, kComeBack});
   // Before discovery has told its list, an unknown destination may only be unknown yet.
   if (!directory_.knows(message.destination))
@@ -231,6 +236,7 @@
   if (open >= static_cast<std::size_t>(config_.settings.open_max) || unwritten_ || !store_.admit(message))
     return reply({503, kComeBack});
   reply = shared(message.id, std::move(reply));
+  if (HERONVANE_DEFECT("answer-before-record")) std::exchange(reply, [](const Answer&) {})({202, 0});
   arrived_.push_back({std::move(message), std::move(reply)});
   schedule(true);
 }
@@ -245,7 +251,14 @@
   };
 }
 
-void Relay::ended(const event::AttemptEnded& e) {
+void Relay::ended(const event::AttemptEnded& outcome) {
+  event::AttemptEnded e = outcome;
+  if (HERONVANE_DEFECT("resend-in-doubt") && (e.outcome == Outcome::error || e.outcome == Outcome::reset))
+    e.outcome = Outcome::full;
+  if (HERONVANE_DEFECT("ignore-wait")) e.told_wait = 0;
+#ifdef HERONVANE_FAIL_POINTS
+  if (e.closed && HERONVANE_DEFECT_NOW("end-after-delivery")) tell_late(e.id, {});
+#endif
   HERONVANE_POINT("outcome.came");
   if (e.closed)
     over(e.id);
@@ -274,6 +287,8 @@
 }
 
 void Relay::listed(MemberList list) {
+  if (HERONVANE_DEFECT("ignore-drain"))
+    for (auto& m : list.members) m.endpoint.listing = Listing::active;
   const std::string discovery = text_of(platform_.address());
   const Time now = store_.clock().now();
   list = list_memory_.told(std::move(list), discovery, now);
@@ -377,7 +392,10 @@
     remember_targets();
     tell_next_listed();
   }
-  for (auto& [id, reply] : unanswered_) plan.answers.push_back({id, std::move(reply), {202, 0}});
+  for (auto& [id, reply] : unanswered_) {
+    const bool refused = HERONVANE_DEFECT_NOW("refuse-yet-keep");
+    plan.answers.push_back({id, std::move(reply), refused ? Answer{503, kComeBack} : Answer{202, 0}});
+  }
   unanswered_.clear();
   settle(std::move(plan));
   if (store_.wants_compaction()) compact();
@@ -436,9 +454,10 @@
 }
 
 // An end that is not a delivery: told in the answer where the client still waits for it, else by a notice.
-void Relay::finish(Plan& plan, MessageId id, const Ending& ending) {
+void Relay::finish(Plan& plan, MessageId id, const Ending& decided) {
   const Held* const held = store_.find(id);
   if (held == nullptr || held->ending) return;
+  const Ending ending = HERONVANE_DEFECT("refuse-in-doubt") ? Ending{true, kComeBack} : decided;
   if (const auto waiting = unanswered_.find(id); waiting != unanswered_.end()) {
     plan.answers.push_back(
         {0, std::move(waiting->second), ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
@@ -557,11 +576,30 @@
       HERONVANE_POINT("reply.after");
     }
     for (auto& [endpoint, messages] : plan->calls) begin(endpoint, std::move(messages));
-    for (const MessageId id : plan->endings)
+    for (const MessageId id : plan->endings) {
+#ifdef HERONVANE_FAIL_POINTS
+      if (HERONVANE_DEFECT("no-notice")) continue;
+      if (HERONVANE_DEFECT("late-end")) {
+        tell_late(id, {});
+        continue;
+      }
+#endif
       if (const Held* const held = store_.find(id)) platform_.notice(id, held->message.id, *held->ending);
+    }
   }
 }
 
+#ifdef HERONVANE_FAIL_POINTS
+// A defect to be found: a notice, a second and a half late.
+void Relay::tell_late(MessageId id, const Ending& ending) {
+  const Held* const held = store_.find(id);
+  if (held == nullptr) return;
+  const auto timer = std::make_shared<net::steady_timer>(io_, std::chrono::milliseconds(1500));
+  timer->async_wait(
+      [this, timer, id, name = held->message.id, ending](error_code) { platform_.notice(id, name, ending); });
+}
+#endif
+
 void Relay::begin(const EndpointId& endpoint, std::vector<Outgoing> messages) {
   HERONVANE_POINT("call.planned");
   const Time now = store_.clock().now();
@@ -576,7 +614,12 @@
     take_back(endpoint, m);
     return true;
   });
-  if (!messages.empty()) calls_.send(endpoint, std::move(messages));
+  if (messages.empty()) return;
+  if (HERONVANE_DEFECT_NOW("wrong-destination"))
+    for (const auto& other : directory_.all())
+      if (other.destination != told->destination) return calls_.send(other.id, std::move(messages));
+  if (HERONVANE_DEFECT_NOW("send-twice")) calls_.send(endpoint, std::vector<Outgoing>(messages));
+  calls_.send(endpoint, std::move(messages));
 }
 
 // ---- Timers of the module. ----
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -102,6 +102,9 @@
   void hold_back(const EndpointId& endpoint);
   void compact();
   void check_drained();
+#ifdef HERONVANE_FAIL_POINTS
+  void tell_late(MessageId id, const Ending& ending);
+#endif
 
   // relay_fleet.cpp
   void start_drained();
--- a/standins/clients.cpp
+++ b/standins/clients.cpp
@@ -40,6 +40,7 @@
   Time until = 0;  // its deadline
   unsigned tries = 0;
   bool again = false;    // handed in before, and refused
+  bool silent = false;   // handed in before, to a relay that did not answer
   bool unheard = false;  // written under this id once, and never answered
 };
 
@@ -71,6 +72,7 @@
   Counts counts_;
   std::size_t turn_ = 0;
   Time due_ = 0;
+  double pace_ = 1;
   bool running_ = false, ended_ = false;
 };
 
@@ -114,7 +116,10 @@
     out_ = "POST /" + m.message_class + " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + m.id +
            "\r\nX-Class: " + m.message_class + (m.tenant.empty() ? "" : "\r\nX-Tenant: " + m.tenant) +
            "\r\nX-Deadline: " + std::to_string(std::max<Time>(0, job_->until - clients_->now()) / 1000) +
-           "m\r\nX-Consignee: dest=" + std::to_string(m.destination) + (job_->again ? "\r\nX-Retry: 1" : "") +
+           "m\r\nX-Consignee: dest=" + std::to_string(m.destination) +
+           (job_->silent  ? "\r\nX-Retry: again"
+            : job_->again ? "\r\nX-Retry: 1"
+                          : "") +
            "\r\nContent-Length: " + std::to_string(m.body) + "\r\n\r\n" + std::string(m.body, 'x');
     sent_ = true;
     net::async_write(socket_, net::buffer(out_), [self = shared_from_this()](error_code bad, std::size_t) {
@@ -185,10 +190,10 @@
   while (due_ <= at) {
     Job job;
     job.message = traffic_.draw();
-    job.until = at + job.message.deadline;
+    job.until = job.message.until = at + job.message.deadline;
     counts_.handed++, counts_.out++;
     send(std::move(job));
-    due_ += traffic_.gap();
+    due_ += std::max<Time>(1, static_cast<Time>(static_cast<double>(traffic_.gap()) / pace_));
   }
   timer_.expires_after(microseconds(due_ - at));
   timer_.async_wait([self = shared_from_this()](error_code bad) {
@@ -198,6 +203,11 @@
 
 std::size_t Clients::Impl::pick() {
   const Time at = now();
+  if (options_.first_that_serves) {
+    for (std::size_t i = 0; i < relays_.size(); i++)
+      if (relays_[i].passed_over_until <= at) return i;
+    return 0;
+  }
   for (std::size_t i = 0; i < relays_.size(); i++) {
     turn_ = (turn_ + 1) % relays_.size();
     if (relays_[turn_].passed_over_until <= at) return turn_;
@@ -207,7 +217,7 @@
 }
 
 void Clients::Impl::send(Job job) {
-  job.tries++;
+  job.message.tries = ++job.tries;
   counts_.tries++;
   const auto relay = pick();
   if (options_.sends) options_.sends(job.message);
@@ -244,7 +254,13 @@
     case Heard::silence:
       r.told.silence++;
       pass_over(kMostPassedOver);
-      return over(heard);
+      if (std::count(options_.again_after_silence.begin(), options_.again_after_silence.end(),
+                     job.message.message_class) == 0)
+        return over(heard);
+      job.unheard = false;
+      job.silent = true;
+      wait = options_.come_back;
+      break;
     case Heard::refused:
       r.told.refusals++;
       counts_.refusals++;
@@ -259,7 +275,8 @@
       wait = job.tries < relays_.size() ? 0 : options_.come_back;
       break;
   }
-  if (!running_ || job.tries >= options_.tries || at + wait >= job.until) return over(Heard::refused);
+  if (!running_ || job.tries >= options_.tries || at + wait >= job.until)
+    return over(heard == Heard::silence ? heard : Heard::refused);
   job.message.id = traffic_.new_id();
   // Also where nothing is waited for: calls may not nest without end.
   const auto timer = std::make_shared<net::steady_timer>(io_, microseconds(wait));
@@ -315,6 +332,10 @@
   impl_->timer_.cancel();
   for (const auto& t : impl_->waiting_) t->cancel();
 }
+void Clients::pace(double times) {
+  if (!(times > 0)) throw std::invalid_argument("clients: the pace must be above 0");
+  impl_->pace_ = times;
+}
 const Clients::Counts& Clients::counts() const { return impl_->counts_; }
 const Clients::OfRelay& Clients::relay(std::size_t i) const { return impl_->relays_.at(i).told; }
 
--- a/standins/clients.hpp
+++ b/standins/clients.hpp
@@ -37,6 +37,10 @@
   Time patience = 400'000;    // for an answer; then the connection is closed
   unsigned tries = 4;         // of a message, the first among them; none after its deadline
   Time come_back = 200'000;   // after a refusal that names no time
+  // A relay is taken again while it serves, and the next one only while it is passed over; false: in turn.
+  bool first_that_serves = false;
+  // A message of these classes is handed in again where no answer came. It may then be taken on twice.
+  std::vector<std::string> again_after_silence;
   // Before a try's first byte; and when it has ended. May be empty.
   std::function<void(const Message&)> sends;
   std::function<void(const Message&, std::size_t relay, Heard)> heard;
@@ -62,6 +66,8 @@
   void start();
   // Nothing new is handed in; what is out is waited for, and tried no more.
   void stop();
+  // So many times the plan's rate from now on; above 0.
+  void pace(double times);
   const Counts& counts() const;
   const OfRelay& relay(std::size_t i) const;
 
--- a/standins/endpoint.cpp
+++ b/standins/endpoint.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace heronvane::standins {
@@ -56,8 +57,15 @@
   Impl(net::io_context& io, EndpointOptions options)
       : options_(std::move(options)),
         behaviour_(options_.habits, options_.seed, now()),
-        acceptor_(io, {net::ip::address_v4::loopback(), 0}) {}
+        acceptor_(io, options_.listen),
+        address_(acceptor_.local_endpoint()) {}
   void accept();
+  void end_sessions(bool reset);
+  std::size_t open_sessions() {
+    auto& all = sessions_;
+    all.erase(std::remove_if(all.begin(), all.end(), [](const auto& s) { return s.expired(); }), all.end());
+    return all.size();
+  }
   void shut();
   Time now() const { return options_.now ? options_.now() : steady_time(); }
   void ran(const std::vector<std::string>& ids) {
@@ -69,7 +77,9 @@
   Behaviour behaviour_;
   Counts counts_;
   tcp::acceptor acceptor_;
+  tcp::endpoint address_;
   std::vector<std::weak_ptr<Session>> sessions_;
+  std::uint64_t last_call_ = 0;
   bool shut_ = false;
 };
 
@@ -79,7 +89,36 @@
   Session(tcp::socket socket, std::shared_ptr<Impl> endpoint)
       : socket_(std::move(socket)), timer_(socket_.get_executor()), endpoint_(std::move(endpoint)) {}
 
+  void begin() {
+    error_code ignored;
+    call_.from = socket_.remote_endpoint(ignored);
+    const auto& e = *endpoint_;
+    crowded_ = e.options_.connections_most > 0 && e.sessions_.size() > e.options_.connections_most;
+    if (e.options_.connected) e.options_.connected(call_.from, crowded_);
+    read();
+  }
+  void reset() {
+    error_code ignored;
+    socket_.set_option(tcp::socket::linger(true, 0), ignored);
+    close();
+  }
+
   void read() {
+    if (endpoint_->options_.followed && buffer_.size() == 0) {
+      // When the first byte of a call comes.
+      timer_.expires_after(std::chrono::microseconds(endpoint_->options_.idle));
+      timer_.async_wait([self = shared_from_this()](error_code bad) {
+        if (!bad) self->close();
+      });
+      return socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
+        if (bad) return self->close();
+        self->read_call();
+      });
+    }
+    read_call();
+  }
+  void read_call() {
+    call_.first_byte = endpoint_->now();
     parser_.emplace();
     parser_->body_limit(kMostBody);
     timer_.expires_after(std::chrono::microseconds(endpoint_->options_.idle));
@@ -93,12 +132,33 @@
     });
   }
   void close() {
+    over();
     error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
   }
 
  private:
+  // ---- For those who follow calls. ----
+  void tell(Stage stage, Time until = 0) {
+    if (out_there_ && endpoint_->options_.followed) endpoint_->options_.followed(call_, stage, until);
+  }
+  // The call that is out has ended, one way or the other.
+  void over() {
+    tell(Stage::over);
+    out_there_ = false;
+  }
+  // Its relay gives a call up by ending its connection; what has begun goes on to its effect.
+  void watch_for_end() {
+    if (!endpoint_->options_.followed) return;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this(), number = call_.number](error_code bad) {
+                         if (!bad && self->out_there_ && self->call_.number == number && self->gone()) {
+                           self->given_up_ = true;
+                           self->tell(Stage::over);
+                         }
+                       });
+  }
   template <class Then>
   void after(Time span, Then then) {
     timer_.expires_after(std::chrono::microseconds(span));
@@ -125,7 +185,13 @@
       ids_ = {std::string(request["X-Request-Id"])};
       if (ids_[0].empty() || request.count("X-Request-Id") != 1) return malformed(400);
     }
-    const Fate fate = e.behaviour_.call(e.now(), ids_.size());
+    call_.ids = ids_;
+    call_.number = ++e.last_call_;
+    out_there_ = true, given_up_ = false;
+    tell(Stage::came);
+    const Fate fate = crowded_            ? Fate(fate::Refuse{})
+                      : e.options_.decide ? e.options_.decide(call_)
+                                          : e.behaviour_.call(e.now(), ids_.size());
     if (const auto& told = e.options_.arrived)
       for (const auto& id : ids_)
         told(id, std::holds_alternative<fate::Refuse>(fate) || std::holds_alternative<fate::Wait>(fate));
@@ -136,9 +202,10 @@
     answer(status, "");
   }
   void meet(const fate::Serve& f) {
+    watch_for_end();
     after(f.after, [this] {
       auto& e = *endpoint_;
-      e.ran(ids_);
+      took_effect();
       if (gone()) {
         e.counts_.given_up += ids_.size();
         return close();
@@ -155,37 +222,47 @@
   }
   void meet(const fate::Refuse&) {
     endpoint_->counts_.refused += ids_.size();
+    tell(Stage::turned_away);
+    if (crowded_) keep_ = false;
     answer(503, "");
   }
   void meet(const fate::Wait& f) {
     endpoint_->counts_.told_to_wait += ids_.size();
+    tell(Stage::turned_away);
+    tell(Stage::told_wait, endpoint_->now() + (f.left + 999) / 1000 * 1000);
     answer(429, "X-Come-Back-Ms: " + std::to_string((f.left + 999) / 1000) + "\r\n");
   }
   void meet(const fate::Fail& f) {
+    watch_for_end();
     after(f.after, [this, ran = f.ran] {
-      if (ran) endpoint_->ran(ids_);
+      if (ran) took_effect();
       endpoint_->counts_.failed += ids_.size();
       answer(500, "");
     });
   }
   void meet(const fate::Reset& f) {
+    watch_for_end();
     after(f.after, [this, ran = f.ran] {
-      if (ran) endpoint_->ran(ids_);
+      if (ran) took_effect();
       endpoint_->counts_.reset += ids_.size();
-      error_code ignored;
-      socket_.set_option(tcp::socket::linger(true, 0), ignored);
-      close();
+      reset();
     });
   }
   void meet(const fate::Silent& f) {
     endpoint_->counts_.silent += ids_.size();
-    if (f.ran) after(f.after, [this] { endpoint_->ran(ids_); });
+    if (f.ran) after(f.after, [this] { took_effect(); });
     // Until the relay gives it up.
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code) {
+      self->tell(Stage::over);
+      self->given_up_ = true;
       error_code ignored;
       self->socket_.close(ignored);
     });
   }
+  void took_effect() {
+    endpoint_->ran(ids_);
+    if (out_there_ && endpoint_->options_.followed) endpoint_->options_.followed(call_, Stage::ran, 0);
+  }
   // The relay closed its connection, or ended its sending.
   bool gone() {
     char byte;
@@ -204,6 +281,9 @@
                        const auto& told = self->endpoint_->options_.answered;
                        if (delivers && told)
                          for (const auto& id : self->ids_) told(id);
+                       if (delivers && !self->given_up_) self->tell(Stage::answered);
+                       if (!delivers) self->tell(Stage::over);
+                       self->out_there_ = false;
                        if (!self->keep_) return self->close();
                        self->read();
                      });
@@ -216,32 +296,41 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   std::vector<std::string> ids_;
   std::string out_;
-  bool bundle_ = false, keep_ = true;
+  Call call_;
+  bool bundle_ = false, keep_ = true, crowded_ = false;
+  bool out_there_ = false;  // a call has come, and its end has not been told
+  bool given_up_ = false;   // its relay has ended the connection
 };
 
 void Endpoint::Impl::accept() {
   acceptor_.async_accept([self = shared_from_this()](error_code bad, tcp::socket socket) {
-    if (self->shut_) return;
+    if (self->shut_ || !self->acceptor_.is_open()) return;
     if (!bad) {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       self->counts_.connections++;
       const auto session = std::make_shared<Session>(std::move(socket), self);
-      auto& all = self->sessions_;
-      all.erase(std::remove_if(all.begin(), all.end(), [](const auto& s) { return s.expired(); }), all.end());
-      all.push_back(session);
-      session->read();
+      self->open_sessions();
+      self->sessions_.push_back(session);
+      session->begin();
     }
     self->accept();
   });
 }
 
+void Endpoint::Impl::end_sessions(bool reset) {
+  for (const auto& s : std::exchange(sessions_, {}))
+    if (const auto session = s.lock()) reset ? session->reset() : session->close();
+}
+
 void Endpoint::Impl::shut() {
   shut_ = true;
   error_code ignored;
   acceptor_.close(ignored);
-  for (const auto& s : sessions_)
-    if (const auto session = s.lock()) session->close();
+  options_.decide = nullptr;
+  options_.followed = nullptr;
+  options_.connected = nullptr;
+  end_sessions(false);
   options_.arrived = nullptr;
   options_.ran = options_.answered = nullptr;
 }
@@ -251,9 +340,23 @@
   impl_->accept();
 }
 Endpoint::~Endpoint() { impl_->shut(); }
+void Endpoint::go_down() {
+  error_code ignored;
+  impl_->acceptor_.close(ignored);
+  impl_->end_sessions(true);
+}
+void Endpoint::come_back() {
+  auto& a = impl_->acceptor_;
+  if (a.is_open()) return;
+  a.open(impl_->address_.protocol());
+  a.set_option(tcp::acceptor::reuse_address(true));
+  a.bind(impl_->address_);
+  a.listen();
+  impl_->accept();
+}
 const std::string& Endpoint::name() const { return impl_->options_.name; }
 std::string Endpoint::address() const {
-  return "127.0.0.1:" + std::to_string(impl_->acceptor_.local_endpoint().port());
+  return impl_->address_.address().to_string() + ":" + std::to_string(impl_->address_.port());
 }
 const Endpoint::Counts& Endpoint::counts() const { return impl_->counts_; }
 bool Endpoint::silent() const { return impl_->behaviour_.silent(impl_->now()); }
--- a/standins/endpoint.hpp
+++ b/standins/endpoint.hpp
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "behaviour.hpp"
 
@@ -28,8 +30,31 @@
   std::unordered_map<std::string, unsigned> times_;
 };
 
+// A call that came whole, for those who follow it.
+struct Call {
+  std::uint64_t number = 0;  // of this endpoint, from 1 on
+  boost::asio::ip::tcp::endpoint from;
+  Time first_byte = 0;
+  std::vector<std::string> ids;
+};
+enum class Stage {
+  came,
+  turned_away,  // 503; it never runs
+  told_wait,    // 429, until `until`
+  ran,          // it took effect
+  answered,     // its 200 is written to a relay that still waits
+  over,         // answered otherwise, or its connection ended
+};
+
 struct EndpointOptions {
   std::string name;
+  boost::asio::ip::tcp::endpoint listen{boost::asio::ip::address_v4::loopback(), 0};
+  std::size_t connections_most = 0;  // one more is answered 503 and closed; 0: any number
+  // What becomes of a call, in place of the habits below; may be empty.
+  std::function<Fate(const Call&)> decide;
+  // All that happens to calls, and new connections (of which one too many: `crowded`); may be empty.
+  std::function<void(const Call&, Stage, Time until)> followed;
+  std::function<void(const boost::asio::ip::tcp::endpoint& from, bool crowded)> connected;
   Habits habits;
   std::uint64_t seed = 0;
   std::function<Time()> now;  // never goes back; empty: the steady clock
@@ -55,6 +80,10 @@
   Endpoint(const Endpoint&) = delete;
   Endpoint& operator=(const Endpoint&) = delete;
 
+  // No process listens there from now on, and all connections are reset; and it listens again.
+  void go_down();
+  void come_back();
+
   const std::string& name() const;
   std::string address() const;  // "127.0.0.1:8081"
   const Counts& counts() const;
--- a/standins/traffic.hpp
+++ b/standins/traffic.hpp
@@ -15,6 +15,8 @@
   std::string message_class, tenant;
   std::int64_t destination = 0;
   Time deadline = 0;     // from now on
+  Time until = 0;        // once it is handed in: its deadline on the clients' clock
+  unsigned tries = 0;    // of it so far, the one under way among them
   std::size_t body = 0;  // bytes
 };
 
--- a/tests/kill/fail_points.cpp
+++ b/tests/kill/fail_points.cpp
@@ -5,10 +5,12 @@
 #include <sys/mman.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <map>
 #include <mutex>
 #include <random>
@@ -68,6 +70,24 @@
 
 }  // namespace
 
+bool has_defect(const char* name) {
+  static const std::string planted = environment("HERONVANE_DEFECT");
+  return planted == name;
+}
+bool has_defect_now(const char* name) {
+  static std::atomic<unsigned> asked = 0;
+  return has_defect(name) && ++asked % 20 == 0;
+}
+bool second_life() {
+  static const bool held = [] {
+    std::error_code none;
+    for (const auto& f : std::filesystem::directory_iterator(environment("LB_STATE"), none))
+      if (f.path().filename().string().rfind("segment-", 0) == 0) return true;
+    return false;
+  }();
+  return held;
+}
+
 void fail_point(const char* name) { Points::all().pass(name); }
 
 namespace store {
--- a/tests/platform/planted_call.cpp
+++ b/tests/platform/planted_call.cpp
@@ -1,5 +1,5 @@
-// Loaded before the relay as a defect that the test of refused calls must find: the process makes the call that
-// HERONVANE_PLANTED_CALL names whenever it opens a socket to listen on.
+// Loaded before the relay as a defect that the test of refused calls must find: the process makes the call
+// that HERONVANE_PLANTED_CALL names whenever it opens a socket to listen on.
 #include <sys/syscall.h>
 #include <unistd.h>
 
--- a/tests/platform/refused_calls.cpp
+++ b/tests/platform/refused_calls.cpp
@@ -1,6 +1,7 @@
-// Loaded before the relay: refuses the system calls that a platform may refuse (other processes, io_uring, splice,
-// sendfile) and notes each in the file that HERONVANE_REFUSED_CALLS names, a line "name pid". A filter on this process
-// alone, without special rights (seccomp(2)), so that calls made by the C library itself are found too.
+// Loaded before the relay: refuses the system calls that a platform may refuse (other processes, io_uring,
+// splice, sendfile) and notes each in the file that HERONVANE_REFUSED_CALLS names, a line "name pid". A
+// filter on this process alone, without special rights (seccomp(2)), so that calls made by the C library
+// itself are found too.
 #include <fcntl.h>
 #include <linux/audit.h>
 #include <linux/filter.h>
@@ -87,7 +88,8 @@
   std::array<sock_filter, 2 * std::size(kRefused) + 8> program{};
   std::size_t n = 0;
   program[n++] = load(offsetof(seccomp_data, nr));
-  // clone3 has its flags where no filter sees them: the C library then takes clone, which has them in a register.
+  // clone3 has its flags where no filter sees them: the C library then takes clone, which has them in a
+  // register.
   program[n++] = jump(__NR_clone3, 0, 1);
   program[n++] = answer(SECCOMP_RET_ERRNO | ENOSYS);
   for (const auto& r : kRefused) {
@@ -101,7 +103,8 @@
   program[n++] = answer(SECCOMP_RET_TRAP);
   program[n++] = answer(SECCOMP_RET_ALLOW);
   const sock_fprog filter{static_cast<unsigned short>(n), program.data()};
-  if (::prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0 || ::prctl(PR_SET_SECCOMP, SECCOMP_MODE_FILTER, &filter) != 0)
+  if (::prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) != 0 ||
+      ::prctl(PR_SET_SECCOMP, SECCOMP_MODE_FILTER, &filter) != 0)
     ::_exit(125);
   note("armed");
 }
--- a/tests/platform/run_command_test.cpp
+++ b/tests/platform/run_command_test.cpp
@@ -1,5 +1,5 @@
-// What deploy/balancer.toml has the platform run: one process by `exec`, linked dynamically, that makes none of the
-// calls that the platform refuses, through a start, traffic, SIGHUP, compaction, SIGKILL and a stop.
+// What deploy/balancer.toml has the platform run: one process by `exec`, linked dynamically, that makes none
+// of the calls that the platform refuses, through a start, traffic, SIGHUP, compaction, SIGKILL and a stop.
 #include <map>
 #include <set>
 #include <sstream>
@@ -67,7 +67,8 @@
     ASSERT_FALSE(before.empty());
     const auto gone = [&] {
       const auto now = segments();
-      return std::any_of(before.begin(), before.end(), [&](const auto& name) { return now.count(name) == 0; });
+      return std::any_of(before.begin(), before.end(),
+                         [&](const auto& name) { return now.count(name) == 0; });
     };
     for (int i = 0; i < 2000 && !gone(); i++) {
       const auto id = "m" + std::to_string(handed++);
@@ -93,8 +94,8 @@
   EXPECT_EQ(deploy.at("build").find("=ON"), std::string::npos);
 }
 
-// Guards against calls that a platform refuses: a thread made by fork, a file sent by sendfile, an event loop on
-// io_uring. That the library was loaded at all shows that the program is linked dynamically.
+// Guards against calls that a platform refuses: a thread made by fork, a file sent by sendfile, an event loop
+// on io_uring. That the library was loaded at all shows that the program is linked dynamically.
 TEST_F(RunCommandTest, NoRefusedCallIsMadeFromStartToStop) {
   start();
   traffic_until_compacted();
@@ -111,7 +112,8 @@
   EXPECT_EQ(pids.size(), 2u) << "two lives, a process each";
 }
 
-// Where signals are blocked, as while the C library starts a program, the call ends the process by SIGSYS instead.
+// Where signals are blocked, as while the C library starts a program, the call ends the process by SIGSYS
+// instead.
 TEST_F(RunCommandTest, APlantedCallIsFound) {
   const std::map<std::string, std::set<std::string>> planted = {{"fork", {"fork", "clone"}},
                                                                 {"program", {"vfork", "clone", "SIGSYS"}},
@@ -124,7 +126,8 @@
     plant(call);
     spawn(config());
     int status = 0;
-    wait_for([&] { return !refused().empty() || ::waitpid(child, &status, WNOHANG) == child; }, "it is found");
+    wait_for([&] { return !refused().empty() || ::waitpid(child, &status, WNOHANG) == child; },
+             "it is found");
     auto found = refused();
     if (found.empty()) {
       child = -1;
