Lab: restarts with another configuration; one handle of a process for the rigs

Need: an experiment could not start a machine with other limits, and two modules held a process by its descriptor.

--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -28,6 +28,7 @@
     {FaultKind::slow, "slow", "for! share!"},
     {FaultKind::wipe, "wipe", "back"},
     {FaultKind::rollback, "rollback", "by! back!"},
+    {FaultKind::configure, "configure", "field! value! back"},
     {FaultKind::fill, "fill", "for!"},
     {FaultKind::outage, "outage", "for! how"},
     {FaultKind::limit, "limit", "factor! for"},
@@ -276,6 +277,8 @@
   if (takes_it("for")) t.span("for", f.lasts);
   if (takes_it("back")) t.span("back", f.back);
   if (takes_it("how")) t.text("how", f.how);
+  if (takes_it("field")) t.text("field", f.how);
+  if (takes_it("value")) t.number("value", f.amount, 0, 1e9);
   if (takes_it("share")) t.number("share", f.amount, 0, 1);
   if (takes_it("factor")) t.number("factor", f.amount, 0, 100);
   if (takes_it("bytes")) t.number("bytes", f.amount, 0, 1e9);
@@ -289,8 +292,10 @@
     if (words.count(f.how) > 0) return;
     std::string all;
     for (const auto& w : words) all += (all.empty() ? "" : ", ") + w;
-    t.fail(t.find("how"), std::string(kind->word) + ".how must be one of: " + all);
+    const char* const field = f.kind == FaultKind::configure ? "field" : "how";
+    t.fail(t.find(field), std::string(kind->word) + "." + field + " must be one of: " + all);
   };
+  if (f.kind == FaultKind::configure) one_of({"disk_mb", "memory_mb", "open_cap", "sockets", "workers"});
   if (f.kind == FaultKind::outage) one_of({"down", "silent", "shut", "failing"});
   if (f.kind == FaultKind::cut || f.kind == FaultKind::cut_one) one_of({"silent", "reset"});
   t.nothing_else();
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -77,28 +77,29 @@
 using Parties = std::vector<std::string>;
 
 enum class FaultKind {
-  kill,      // SIGKILL; back after `back`
-  restart,   // SIGTERM, SIGKILL after 3.7 s; back after `back`
-  stop,      // SIGSTOP for `lasts`
-  slow,      // stopped for the share `amount` of the time, for `lasts`
-  wipe,      // SIGKILL and its disk lost; back with an empty one after `back`, or never
-  rollback,  // SIGKILL; back after `back` with the disk of `amount` microseconds earlier
-  fill,      // nothing more can be written to its disk, for `lasts`
-  outage,    // of destinations, `how`: down, silent, shut, failing
-  limit,     // of destinations: `amount` times the usual, for `lasts` or for good
-  drain,     // endpoints drain and are gone after `back`
-  replace,   // endpoints drain, new ones take their place after `back`
-  burst,     // `amount` times the traffic, for `lasts`
-  down,      // of the platform, for `lasts`
-  cut,       // between `parties` and `others`, for `lasts`, `how`: silent, reset
-  cut_one,   // only what the first send to the others
-  delay,     // `amount` microseconds more each way, with as much spread, for `lasts`
-  loss,      // of datagrams: share `amount`, for `lasts`
-  repeat,    // of datagrams: share `amount`, for `lasts`
-  rate,      // bytes a second on each connection, for `lasts`
-  reset,     // all connections between them, once
-  half,      // half-close: what the first send ends, answers still come; once
-  tear,      // each connection after `amount` more bytes; for `lasts`
+  kill,       // SIGKILL; back after `back`
+  restart,    // SIGTERM, SIGKILL after 3.7 s; back after `back`
+  stop,       // SIGSTOP for `lasts`
+  slow,       // stopped for the share `amount` of the time, for `lasts`
+  wipe,       // SIGKILL and its disk lost; back with an empty one after `back`, or never
+  rollback,   // SIGKILL; back after `back` with the disk of `amount` microseconds earlier
+  configure,  // restarted as `restart`, with the value `amount` of the fleet's field `how`
+  fill,       // nothing more can be written to its disk, for `lasts`
+  outage,     // of destinations, `how`: down, silent, shut, failing
+  limit,      // of destinations: `amount` times the usual, for `lasts` or for good
+  drain,      // endpoints drain and are gone after `back`
+  replace,    // endpoints drain, new ones take their place after `back`
+  burst,      // `amount` times the traffic, for `lasts`
+  down,       // of the platform, for `lasts`
+  cut,        // between `parties` and `others`, for `lasts`, `how`: silent, reset
+  cut_one,    // only what the first send to the others
+  delay,      // `amount` microseconds more each way, with as much spread, for `lasts`
+  loss,       // of datagrams: share `amount`, for `lasts`
+  repeat,     // of datagrams: share `amount`, for `lasts`
+  rate,       // bytes a second on each connection, for `lasts`
+  reset,      // all connections between them, once
+  half,       // half-close: what the first send ends, answers still come; once
+  tear,       // each connection after `amount` more bytes; for `lasts`
 };
 const char* word(FaultKind kind);
 
--- a/lab/launcher.cpp
+++ b/lab/launcher.cpp
@@ -98,13 +98,6 @@
 
 }  // namespace
 
-Process::~Process() {
-  if (descriptor_ >= 0) ::close(descriptor_);
-}
-bool Process::signal(int number) const {
-  return descriptor_ >= 0 && ::syscall(SYS_pidfd_send_signal, descriptor_, number, nullptr, 0) == 0;
-}
-
 class Launcher::Impl : public std::enable_shared_from_this<Impl> {
  public:
   int socket = -1;
--- a/lab/launcher.hpp
+++ b/lab/launcher.hpp
@@ -2,39 +2,15 @@
 // would hold up its loop. What it starts ends with it, and it ends with the lab, however that ends.
 #pragma once
 
-#include <sys/types.h>
-
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
-namespace heronvane::lab {
-
-// A process by its descriptor (pidfd_open(2)): signals never reach another one that got its number.
-class Process {
- public:
-  Process() = default;
-  Process(pid_t pid, int descriptor) : pid_(pid), descriptor_(descriptor) {}
-  Process(Process&& other) noexcept
-      : pid_(std::exchange(other.pid_, -1)), descriptor_(std::exchange(other.descriptor_, -1)) {}
-  Process& operator=(Process&& other) noexcept {
-    std::swap(pid_, other.pid_);
-    std::swap(descriptor_, other.descriptor_);
-    return *this;
-  }
-  ~Process();
-  explicit operator bool() const { return descriptor_ >= 0; }
-  pid_t pid() const { return pid_; }
-  int descriptor() const { return descriptor_; }
-  bool signal(int number) const;  // false: it has ended
+#include "process.hpp"
 
- private:
-  pid_t pid_ = -1;
-  int descriptor_ = -1;
-};
+namespace heronvane::lab {
 
 struct Command {
   std::vector<std::string> arguments;    // the program first
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -48,6 +48,7 @@
       up_(plan_.relays.size(), false),
       endpoint_down_(plan_.endpoints.size(), false),
       endpoint_outages_(plan_.endpoints.size(), 0),
+      fleets_(plan_.relays.size(), experiment_.fleet),
       back_(plan_.relays.size(), -1),
       on_down_(plan_.relays.size()),
       away_by_cut_(plan_.relays.size(), 0),
@@ -271,7 +272,7 @@
   json.EndArray();
   // Of each type, in the order of HostTypes.
   json.Key("FamilyInfo"), json.StartObject();
-  number("Workers", x.fleet.workers);
+  number("Workers", fleets_[relay].workers);
   json.Key("BundleMax"), json.StartArray();
   json.Int(x.destinations.bundle_max), json.Int(x.destinations.bundle_max), json.EndArray();
   json.Key("RoutesApart"), json.StartArray(), json.Bool(false), json.Bool(true), json.EndArray();
@@ -287,7 +288,7 @@
   number("GroupSize", x.fleet.relays), number("Rank", static_cast<std::int64_t>(relay)),
       number("Tick", x.fleet.tick);
   json.Key("Limits"), json.StartObject();
-  number("OpenCap", x.fleet.open_cap), number("MaxAttempts", 8), flag("Cancelling", true);
+  number("OpenCap", fleets_[relay].open_cap), number("MaxAttempts", 8), flag("Cancelling", true);
   flag("Peers", x.fleet.notes), number("ConnIdle", 5'000'000), number("ConnectTimeout", 1'500'000);
   number("MaxRetryAfter", 2'000'000);
   json.EndObject();
@@ -308,12 +309,11 @@
                     seed_of(plan_.seed, plan_.relays[r].name + " life " + std::to_string(life))));
   const auto address = [this, r, text](Index e) { return text(addresses_->endpoint_seen_by(r, e)); };
   char disk[32];
-  std::snprintf(disk, sizeof disk, "%g", experiment_.fleet.disk_mb);
-  std::string json =
-      "{\"name\":\"" + plan_.relays[r].name + "\",\"listen\":\"" + text(addresses_->relay(r)) +
-      "\",\"discovery\":\"" + text(addresses_->platform_seen_by(r)) + "\",\"seed\":\"" + seed +
-      "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + std::to_string(experiment_.fleet.memory_mb) +
-      ",\"sockets\":" + std::to_string(experiment_.fleet.sockets) + ",\"disk_mb\":" + disk + "}";
+  std::snprintf(disk, sizeof disk, "%g", fleets_[r].disk_mb);
+  std::string json = "{\"name\":\"" + plan_.relays[r].name + "\",\"listen\":\"" + text(addresses_->relay(r)) +
+                     "\",\"discovery\":\"" + text(addresses_->platform_seen_by(r)) + "\",\"seed\":\"" + seed +
+                     "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" + std::to_string(fleets_[r].memory_mb) +
+                     ",\"sockets\":" + std::to_string(fleets_[r].sockets) + ",\"disk_mb\":" + disk + "}";
   if (experiment_.fleet.notes) {
     json += ",\"peer_listen\":\"" + text(addresses_->datagrams(r)) + "\",\"peers_all\":\"" +
             text(addresses_->all_peers()) + "\",\"peers\":[";
@@ -327,6 +327,16 @@
          ",\"settings\":" + settings(r) + "}\n";
 }
 
+void World::configure(Index relay, const std::string& field, double value) {
+  auto& f = fleets_[relay];
+  const int whole = static_cast<int>(value);
+  if (field == "disk_mb") f.disk_mb = value;
+  if (field == "memory_mb") f.memory_mb = whole;
+  if (field == "open_cap") f.open_cap = whole;
+  if (field == "sockets") f.sockets = whole;
+  if (field == "workers") f.workers = whole;
+}
+
 // ---- What happens. ----
 Time World::now() const { return standins::steady_time() - zero_; }
 
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -78,6 +78,7 @@
   void build_clients();
   std::string config(Index relay, unsigned life) const;
   std::string settings(Index relay) const;
+  void configure(Index relay, const std::string& field, double value);  // from its next start on
   // ---- What happens. ----
   Time now() const;
   Event& note(Kind kind, Index relay = kNobody, Index endpoint = kNobody);
@@ -140,7 +141,8 @@
   std::vector<bool> up_;
   std::vector<bool> endpoint_down_;
   std::vector<int> endpoint_outages_;
-  std::vector<Time> back_;  // by relay: so long after its process has ended it starts again; -1: never
+  std::vector<Fleet> fleets_;  // by relay: what it is told
+  std::vector<Time> back_;     // by relay: so long after its process has ended it starts again; -1: never
   std::vector<std::function<void()>> on_down_;  // by relay: done once its process has ended
   std::map<std::size_t, Strike> active_;        // strikes on links that last
   std::vector<Index> away_by_cut_, disturbed_;  // counts by relay
--- a/lab/world_faults.cpp
+++ b/lab/world_faults.cpp
@@ -40,6 +40,7 @@
   switch (s.kind) {
     case FaultKind::kill:
     case FaultKind::restart:
+    case FaultKind::configure:
     case FaultKind::stop:
     case FaultKind::slow:
     case FaultKind::wipe:
@@ -112,6 +113,9 @@
         lost(r, 0);
       };
       return m.kill();
+    case FaultKind::configure:
+      configure(r, s.how, s.amount);
+      [[fallthrough]];
     case FaultKind::restart:
       back_[r] = s.back < 0 ? kBackAfterRestart : s.back;
       note(Kind::term, r);
--- a/tests/fleet_rig/processes.cpp
+++ b/tests/fleet_rig/processes.cpp
@@ -1,7 +1,6 @@
 #include "processes.hpp"
 
 #include <dirent.h>
-#include <poll.h>
 #include <signal.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
@@ -45,17 +44,6 @@
 
 }  // namespace
 
-Handle::~Handle() {
-  if (descriptor_ >= 0) ::close(descriptor_);
-}
-bool Handle::signal(int number) const {
-  return ::syscall(SYS_pidfd_send_signal, descriptor_, number, nullptr, 0) == 0;
-}
-bool Handle::ended() const {
-  pollfd p{descriptor_, POLLIN, 0};
-  return ::poll(&p, 1, 0) == 1;
-}
-
 Sampler::Sampler(std::string data)
     : prefix_(std::move(data) + "/instances/"), thread_([this] {
         while (!ending_) {
@@ -137,15 +125,15 @@
   const std::lock_guard lock(mutex_);
   return alive_;
 }
-Handle Sampler::open(const std::string& instance) const {
+lab::Process Sampler::open(const std::string& instance) const {
   const auto all = alive();
   const auto it = all.find(instance);
-  if (it == all.end()) return Handle();
-  Handle handle(static_cast<int>(::syscall(SYS_pidfd_open, it->second, 0)));
-  if (!handle) return handle;
+  if (it == all.end()) return {};
+  lab::Process process(it->second, static_cast<int>(::syscall(SYS_pidfd_open, it->second, 0)));
+  if (!process) return process;
   const auto relay = relay_of(it->second);
-  if (!relay || relay->first != instance || handle.ended()) return Handle();
-  return handle;
+  if (!relay || relay->first != instance || process.ended()) return {};
+  return process;
 }
 std::string Sampler::doubles() const {
   const std::lock_guard lock(mutex_);
--- a/tests/fleet_rig/processes.hpp
+++ b/tests/fleet_rig/processes.hpp
@@ -15,27 +15,10 @@
 #include <vector>
 
 #include "books.hpp"
+#include "lab/process.hpp"
 
 namespace heronvane::rig {
 
-// A process, signalled by descriptor: it never turns into another.
-class Handle {
- public:
-  explicit Handle(int descriptor = -1) : descriptor_(descriptor) {}
-  Handle(Handle&& other) noexcept : descriptor_(std::exchange(other.descriptor_, -1)) {}
-  Handle& operator=(Handle&& other) noexcept {
-    std::swap(descriptor_, other.descriptor_);
-    return *this;
-  }
-  ~Handle();
-  explicit operator bool() const { return descriptor_ >= 0; }
-  bool signal(int number) const;  // false: it has ended
-  bool ended() const;
-
- private:
-  int descriptor_;
-};
-
 // Looks at /proc again and again on a thread of its own. Any thread may ask.
 class Sampler {
  public:
@@ -51,7 +34,7 @@
 
   std::vector<Run> runs(const std::string& instance) const;  // all so far, oldest first
   std::map<std::string, pid_t> alive() const;                // at the last look
-  Handle open(const std::string& instance) const;            // of the process that it has now; else empty
+  lab::Process open(const std::string& instance) const;            // of the process that it has now; else empty
   std::string doubles() const;                               // two at once on one state folder; "": never
   std::uint64_t looks() const { return looks_; }
   void look_twice() const;  // returns once a look that began after this call is complete
--- a/tests/fleet_rig/rig.cpp
+++ b/tests/fleet_rig/rig.cpp
@@ -49,7 +49,7 @@
   struct Paused {
     Ms until;
     std::string name;
-    Handle relay;
+    lab::Process relay;
   };
   std::vector<Paused> paused;
   auto next = blows_.begin();
@@ -69,7 +69,7 @@
       if (hit_.count(name) == 0 && std::find(names_.begin(), names_.end(), name) != names_.end())
         open.push_back(name);
     const std::string name = open.empty() ? "" : open[random_() % open.size()];
-    auto relay = name.empty() ? Handle() : sampler_.open(name);
+    auto relay = name.empty() ? lab::Process() : sampler_.open(name);
     if (!relay || !relay.signal(blow.how == How::kill ? SIGKILL : SIGSTOP)) {
       missed_++;
       continue;
@@ -93,7 +93,7 @@
 
 bool Attacks::stopped_ended() const {
   const std::lock_guard lock(mutex_);
-  return std::all_of(stopped_.begin(), stopped_.end(), [](const Handle& h) { return h.ended(); });
+  return std::all_of(stopped_.begin(), stopped_.end(), [](const lab::Process& p) { return p.ended(); });
 }
 std::map<std::string, int> Attacks::hit() const {
   const std::lock_guard lock(mutex_);
--- a/tests/fleet_rig/rig.hpp
+++ b/tests/fleet_rig/rig.hpp
@@ -53,7 +53,7 @@
   mutable std::mutex mutex_;
   std::map<std::string, int> hit_;
   std::map<std::string, std::vector<Ms>> continued_;
-  std::vector<Handle> stopped_;
+  std::vector<lab::Process> stopped_;
   int killed_ = 0, paused_ = 0, missed_ = 0;
   std::atomic<bool> finish_ = false;
   std::thread thread_;
--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -54,7 +54,8 @@
        "settings, sockets, "
        "start_at_most, tick, workers, zones"},
       {kHead + "[[fault]]\nat = \"1s\"\nkil = \"relays\"\n",
-       "x.toml:3: a fault needs its kind, one of: kill, restart, stop, slow, wipe, rollback, fill, outage, "
+       "x.toml:3: a fault needs its kind, one of: kill, restart, stop, slow, wipe, rollback, configure, "
+       "fill, outage, "
        "limit, drain, "
        "replace, burst, platform_down, cut, cut_one_way, delay, loss, repeat, rate, reset, half_close, tear"},
       {kHead + "[[fault]]\nat = \"1s\"\nkill = \"relays\"\nstop = \"n1\"\n",
