Lab: silent doors hold no descriptor, and want of descriptors does not spin

Changed: the connection that keeps a silent door's queue full is closed at once, the queue keeps it; an accept that finds no descriptor waits 100 ms.

--- a/lab/fabric.cpp
+++ b/lab/fabric.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t kMostQueued = 256
                                     << 10;  // bytes on their way in one direction; then nothing more is read
 constexpr int kBacklog = 256;
+constexpr auto kAcceptRetry = std::chrono::milliseconds(100);  // where descriptors are wanting
 
 void reset_on_close(Tcp::socket& socket) {
   error_code ignored;
@@ -51,7 +52,6 @@
     Door door = Door::closed;
     LinkFaults faults;
     std::list<std::shared_ptr<Connection>> connections;  // until they close
-    int filler = -1;                                     // keeps the queue of a silent door full
     explicit Link(net::io_context& io) : acceptor(io) {}
   };
   struct Peer {
@@ -273,9 +273,15 @@
 void Fabric::Impl::accept(const std::shared_ptr<Link>& link) {
   link->acceptor.async_accept([self = shared_from_this(), link](error_code bad, Tcp::socket socket) {
     if (self->ended_ || !link->acceptor.is_open() || bad == net::error::operation_aborted) return;
-    if (bad) {
-      self->counts_.not_carried += bad == net::error::no_descriptors;
-    } else {
+    if (bad == net::error::no_descriptors) {
+      // Who connects waits meanwhile; asked at once, the loop would do nothing else.
+      self->counts_.not_carried++;
+      const auto timer = std::make_shared<net::steady_timer>(self->io_, kAcceptRetry);
+      return timer->async_wait([self, link, timer](error_code) {
+        if (!self->ended_ && link->acceptor.is_open()) self->accept(link);
+      });
+    }
+    if (!bad) {
       self->counts_.connections++;
       const auto c = std::make_shared<Connection>(self, link, std::move(socket));
       link->connections.push_back(c);
@@ -289,7 +295,6 @@
 void Fabric::Impl::shut(Link& link) {
   error_code ignored;
   link.acceptor.close(ignored);
-  if (link.filler >= 0) ::close(std::exchange(link.filler, -1));
 }
 
 Fabric::Fabric(net::io_context& io, std::uint64_t seed) : impl_(std::make_shared<Impl>(io, seed)) {}
@@ -329,9 +334,13 @@
   a.set_option(Tcp::acceptor::reuse_address(true));
   a.bind(link->listen);
   a.listen(0);
-  link->filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (link->filler >= 0)
-    ::connect(link->filler, link->listen.data(), static_cast<socklen_t>(link->listen.size()));
+  const int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (filler < 0) {
+    impl_->counts_.not_carried++;
+    return;
+  }
+  ::connect(filler, link->listen.data(), static_cast<socklen_t>(link->listen.size()));
+  ::close(filler);  // it stays in the queue
 }
 
 void Fabric::faults(LinkId id, const LinkFaults& faults) {
