--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -36,8 +36,9 @@
 // this program.
 std::string program_of(const std::string& build) {
   std::error_code ignored;
-  const fs::path beside =
-      fs::read_symlink("/proc/self/exe", ignored).parent_path().parent_path() / "heronvane";
+  const fs::path own = fs::read_symlink("/proc/self/exe", ignored).parent_path();
+  // Installed they stand in one folder, built in two.
+  const fs::path beside = fs::exists(own / "heronvane") ? own / "heronvane" : own.parent_path() / "heronvane";
   const fs::path path = build.empty()             ? beside
                         : fs::is_directory(build) ? fs::path(build) / "heronvane"
                                                   : fs::path(build);
