--- /dev/null
+++ b/tests/lab/killed.sh
@@ -0,0 +1,26 @@
+#!/bin/bash
+# All that the lab started ends with it, though it is killed: killed.sh LAB PROGRAM EXPERIMENT FOLDER.
+set -euo pipefail
+lab=$1 program=$2 experiment=$3 out=$4
+# Relays of this run, by the folder that they were told.
+relays() {
+  local count=0 f
+  for f in /proc/[0-9]*/environ; do
+    if { tr '\0' '\n' <"$f"; } 2>/dev/null | grep -q "^LB_STATE=$out/"; then count=$((count + 1)); fi
+  done
+  echo "$count"
+}
+wait_for() {
+  for ((i = 0; i < 300; i++)); do
+    if [ "$(relays)" -eq "$1" ]; then return 0; fi
+    sleep 0.1
+  done
+  echo "waited in vain for $1 relays, there are $(relays)"
+  return 1
+}
+"$lab" run "$experiment" --quiet --build "$program" --out "$out" >/dev/null 2>&1 &
+pid=$!
+wait_for 10
+kill -9 "$pid"
+wait_for 0
+echo "10 relays ended with the lab"
