Store: each written batch to a sink, durability elsewhere, records of another store

Copies need three things of the store and no more: the batches that commit() writes (compaction's change nothing and are none of them), a bound on durable() by what stands elsewhere, and put(), which takes a record of another store as it is, booked like its own.

--- a/relay/store/store.cpp
+++ b/relay/store/store.cpp
@@ -148,6 +148,59 @@
   return true;
 }
 
+// ---- Records of another store. ----
+void Store::put(Record record) {
+  struct Put {
+    Store& s;
+    void operator()(record::Taken& r) const {
+      const std::size_t bytes = s.pending_.add(r.number, r.held);
+      Note note;
+      note.kind = Kind::taken, note.number = r.number, note.bytes = static_cast<std::uint32_t>(bytes);
+      s.pending_notes_.push_back(std::move(note));
+      if (const Held* const before = s.find(r.number)) s.unbook(s.cost(before->message));
+      const Booked c = s.cost(r.held.message);
+      s.booked_.messages += c.messages, s.booked_.later += c.later, s.booked_.ids += c.ids;
+      s.table_.taken(r.number, std::move(r.held));
+    }
+    void operator()(record::Progress& r) const {
+      if (s.find(r.number) != nullptr) s.add(r), s.table_.progress(r);
+    }
+    void operator()(record::Sent& r) const {
+      if (s.find(r.number) != nullptr) s.add(r), s.table_.sent(r);
+    }
+    void operator()(record::Ended& r) const {
+      if (s.find(r.number) != nullptr) s.add(r), s.table_.ended(r);
+    }
+    void operator()(record::GivenUp& r) const {
+      if (s.find(r.number) != nullptr) s.add(r), s.table_.given_up(r);
+    }
+    void operator()(record::Over& r) const {
+      const Held* const held = s.find(r.number);
+      if (held == nullptr && r.id.empty()) return;
+      Booked c;
+      if (held != nullptr) c = s.cost(held->message);
+      // What is remembered stays booked until it is forgotten.
+      if (!r.id.empty() && std::exchange(c.ids, 0) == 0) s.booked_.ids += over_bytes(r.id);
+      s.unbook(c);
+      s.add(r);
+      if (const auto other = s.table_.over(r)) {
+        s.booked_.ids -= over_bytes(r.id);
+        s.ledger_.forget_id(*other);
+      }
+    }
+    void operator()(record::Fact& r) const {
+      const auto it = s.facts().find(r.key);
+      if (it == s.facts().end() ? r.value.empty() : it->second == r.value) return;
+      s.add(r);
+      s.table_.fact(r);
+    }
+    void operator()(record::Segment&) const {}
+    void operator()(record::Dropped&) const {}
+    void operator()(Anchor&) const {}
+  };
+  std::visit(Put{*this}, record);
+}
+
 bool Store::commit() {
   const Time now = clock_.now();
   for (const auto& forgotten : table_.expire(now)) {
@@ -165,6 +218,7 @@
     add(clock_.anchor());
     anchored_ = now, anchor_waits_ = true;
   }
+  if (sink_ != nullptr) sink_->closing();
   if (!write(pending_, pending_notes_)) return false;
   anchor_waits_ = false;
   return true;
--- a/relay/store/store.hpp
+++ b/relay/store/store.hpp
@@ -10,14 +10,17 @@
 // returned true and durable() has reached what written() was then.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/message.hpp"
@@ -61,6 +64,16 @@
   ReadClocks clocks = system_clocks;
 };
 
+// Where each batch that commit() writes goes besides the disk: copies of the store elsewhere. Compaction's
+// batches are none of them, for they change nothing. Called within commit(), which neither may call.
+class LogSink {
+ public:
+  virtual ~LogSink() = default;
+  virtual void closing() = 0;  // the batch is about to be written: records may still be added to it
+  // It is written: its frames, the last of which has this number; valid during the call.
+  virtual void written(Sequence last, std::string_view frames) = 0;
+};
+
 // What was found at the start.
 struct Recovery {
   Replay::Counts counts;
@@ -105,12 +118,27 @@
   // empty value drops it.
   bool keep(const std::string& key, const std::string& value, unsigned part = 100);
 
+  // A record of another store, as it is: a message with its number and all that is known of it, or what
+  // followed. Room for it is booked, asked for by nobody: bound what comes. Facts find room whatever their
+  // share. Records of messages that are not held, and of segments, change nothing.
+  void put(Record record);
+  // No number below is given to a message any more, until the next start.
+  void reserve_numbers(MessageId next) { table_.reserve_numbers(next); }
+  std::vector<record::Over> remembered_ids() const { return table_.remembered_ids(); }
+
   // Writes what was added, all or nothing; false where the disk won't take it now: it is kept for the next
   // commit.
   bool commit();
   // Of records: written by the last commit; outlasting what the durability asks for.
   Sequence written() const { return next_ - 1; }
-  Sequence durable() const { return synced_; }
+  Sequence durable() const { return std::min(synced_, elsewhere_); }
+  Sequence outlasts() const { return synced_; }  // on this disk alone
+  // Copies: batches go to `sink`, too, which outlives the store or is taken back by nullptr; and what stands
+  // nowhere else than here, from behind `upto` on, is not durable.
+  void copy_to(LogSink* sink) { sink_ = sink; }
+  void stands_elsewhere(Sequence upto = kEverything) { elsewhere_ = upto; }
+  static constexpr Sequence kEverything = std::numeric_limits<Sequence>::max();
+  Salt salt() const { return salt_; }
   // Called when durable() has moved on, or a sync has failed; Durability::machine only.
   void on_sync(std::function<void()> told) { on_sync_ = std::move(told); }
 
@@ -232,7 +260,8 @@
   std::vector<Doomed> doomed_;
   std::set<SegmentNumber> stuck_;
 
-  Sequence synced_ = 0;
+  LogSink* sink_ = nullptr;
+  Sequence synced_ = 0, elsewhere_ = kEverything;
   bool syncing_ = false, folder_dirty_ = false;
   Time sync_began_ = 0, sync_again_ = 0;
   Time sync_pause_ = 0;  // after the next one that fails
--- a/relay/store/writing.cpp
+++ b/relay/store/writing.cpp
@@ -39,6 +39,8 @@
     const bool begun = begins && !bad;
     if (!bad) bad = try_write(batch, batch.stamped(next_));
     if (!bad) {
+      if (sink_ != nullptr && &batch == &pending_)
+        sink_->written(next_ + batch.count() - 1, batch.stamped(next_));
       written(batch, notes);
       if (!std::exchange(failure_, {}).empty()) options_.log("store: written again");
       return true;
