Copies: holders keep a log's state; a lost holder of two can be replaced

The checked decisions kept whole logs in memory, which no relay can. The model carries states beside the words.

A change that replaces a lost holder of two never ended: it wanted a quorum of the old set to know of it, the lost one among it. It is over when those who don't know make no quorum for claims.

'A change before an entry stands' can't happen any more, since each acknowledgement covers the first entry of its epoch.

--- a/relay/copies/claim.cpp
+++ b/relay/copies/claim.cpp
@@ -7,14 +7,15 @@
 
 namespace heronvane::copies {
 
-Claim::Claim(Member self, Purpose purpose, Epoch epoch, Config config, LogId own_log,
-             std::vector<Entry> entries, ClaimOptions options)
+Claim::Claim(Member self, Purpose purpose, Epoch epoch, Config config, LogId own_log, Position last,
+             Epoch last_epoch, ClaimOptions options)
     : self_(std::move(self)),
       purpose_(purpose),
       epoch_(std::move(epoch)),
       config_(std::move(config)),
       own_log_(std::move(own_log)),
-      entries_(std::move(entries)),
+      last_(last),
+      last_epoch_(std::move(last_epoch)),
       options_(options) {}
 
 std::vector<Member> Claim::members() const {
@@ -32,7 +33,7 @@
         if (promises_.count(m) == 0) out.push_back({m, say::Claim{epoch_}});
       break;
     case State::reading:
-      out.push_back({source_, say::Read{epoch_, entries_.size() + 1}});
+      out.push_back({source_, say::Read{epoch_}});
       break;
     case State::moving:
       for (const auto& m : members())
@@ -55,11 +56,11 @@
     beaten_by_ = r->promised;
   } else if (const auto* const p = std::get_if<say::Promised>(&saying)) {
     if (p->epoch == epoch_ && state_ == State::asking) promised(from, *p);
-  } else if (const auto* const e = std::get_if<say::Entries>(&saying)) {
-    if (e->epoch != epoch_ || state_ != State::reading || from != source_ || e->from != entries_.size() + 1)
-      return;
-    entries_.insert(entries_.end(), e->entries.begin(), e->entries.end());
-    read();
+  } else if (const auto* const read = std::get_if<say::State>(&saying)) {
+    if (read->epoch != epoch_ || state_ != State::reading || from != source_) return;
+    last_ = read->last, last_epoch_ = read->last_epoch;
+    imports_ = true;
+    state_ = State::importing;
   } else if (const auto* const a = std::get_if<say::Accepted>(&saying)) {
     if (a->epoch != epoch_ || state_ != State::moving) return;
     accepted_.insert(from);
@@ -101,34 +102,20 @@
     state_ = State::moving;
     return;
   }
-  wanted_ = most->last;
-  const auto own =
-      std::make_pair(entries_.empty() ? Epoch{} : entries_.back().epoch, Position{entries_.size()});
   // The owner's own disk may have more: a tail that no holder acknowledged, which it may go on with.
-  if (purpose_ == Purpose::go_on && own >= std::make_pair(most->last_epoch, most->last)) {
+  if (purpose_ == Purpose::go_on &&
+      std::make_pair(last_epoch_, last_) >= std::make_pair(most->last_epoch, most->last)) {
     state_ = State::won;
     return;
   }
-  // It is read anew from its beginning: a disk that is older may differ before its end.
-  entries_.clear();
+  // Read as a whole: a disk that is older may differ before its end.
   state_ = State::reading;
-  read();
-}
-
-void Claim::read() {
-  if (entries_.size() < wanted_) return;
-  if (purpose_ == Purpose::go_on) {
-    state_ = State::won;
-    return;
-  }
-  state_ = State::importing;
 }
 
 std::string Claim::describe() const {
   std::ostringstream out;
-  out << epoch_ << " " << config_ << " state " << static_cast<int>(state_) << " wanted " << wanted_
-      << " from " << source_ << " into " << into_;
-  for (const auto& e : entries_) out << " " << e.epoch << "=" << e.bytes;
+  out << epoch_ << " " << config_ << " state " << static_cast<int>(state_) << " has " << last_ << " of "
+      << last_epoch_ << " from " << source_ << " into " << into_ << (imports_ ? " imports" : "");
   for (const auto& [m, p] : promises_) out << " | " << m << " " << Saying(p);
   for (const auto& m : accepted_) out << " & " << m;
   return out.str();
@@ -136,6 +123,10 @@
 
 void Claim::imported() {
   if (state_ != State::importing) return;
+  if (purpose_ == Purpose::go_on) {
+    state_ = State::won;
+    return;
+  }
   into_ = own_log_;
   state_ = State::moving;
 }
--- a/relay/copies/group.cpp
+++ b/relay/copies/group.cpp
@@ -35,6 +35,13 @@
   return config.next.empty() || count_of(config.next, have) >= quorum(config.next.size(), acks).claims;
 }
 
+bool claims_meet(const Config& config, const std::set<Member>& know, Acks acks) {
+  const auto meet = [&](const std::vector<Member>& holders) {
+    return holders.size() - count_of(holders, know) < quorum(holders.size(), acks).claims;
+  };
+  return meet(config.holders) && (config.next.empty() || meet(config.next));
+}
+
 std::vector<Member> choose_holders(const Place& owner, const std::vector<Place>& places, std::size_t count) {
   struct Scored {
     std::uint64_t score;
--- a/relay/copies/group.hpp
+++ b/relay/copies/group.hpp
@@ -26,6 +26,10 @@
 bool enough_acks(const Config& config, const std::set<Member>& have, Acks acks);
 bool enough_claims(const Config& config, const std::set<Member>& have, Acks acks);
 
+// Whoever has a quorum for claims of a set of the config has asked one of `know`, of each set: those who
+// don't make none alone.
+bool claims_meet(const Config& config, const std::set<Member>& know, Acks acks);
+
 struct Place {
   Member member;
   std::string machine, zone;  // empty: not told
--- a/relay/copies/holder.cpp
+++ b/relay/copies/holder.cpp
@@ -6,49 +6,77 @@
 
 namespace heronvane::copies {
 
-std::optional<Saying> Holder::hear(const Saying& saying) {
-  if (const auto* const a = std::get_if<say::Append>(&saying)) return append(*a);
-  if (const auto* const c = std::get_if<say::Claim>(&saying)) return claim(*c);
-  if (const auto* const r = std::get_if<say::Read>(&saying)) return read(*r);
-  if (const auto* const m = std::get_if<say::Move>(&saying)) return move(*m);
-  return std::nullopt;
+Holder::Heard Holder::hear(const Saying& saying) {
+  Heard out;
+  if (const auto* const a = std::get_if<say::Append>(&saying))
+    append(*a, out);
+  else if (const auto* const s = std::get_if<say::Snapshot>(&saying))
+    snapshot(*s, out);
+  else if (const auto* const c = std::get_if<say::Claim>(&saying))
+    out.answer = claim(*c);
+  else if (const auto* const r = std::get_if<say::Read>(&saying))
+    out.answer = read(*r);
+  else if (const auto* const m = std::get_if<say::Move>(&saying))
+    out.answer = move(*m);
+  return out;
 }
 
-Saying Holder::append(const say::Append& a) {
-  // One that has moved takes nothing more, whoever writes.
-  if (a.epoch < state_.promised && !HERONVANE_COPIES_DEFECT("no fence")) return say::Refused{state_.promised};
+// Whether the owner under that epoch may write here; if not, the answer says why.
+bool Holder::writes(const Epoch& epoch, const Config& config, Heard& out) {
+  if (epoch < state_.promised && !HERONVANE_COPIES_DEFECT("no fence")) {
+    out.answer = say::Refused{state_.promised};
+    return false;
+  }
   // Who writes under a higher epoch than a move's has won a claim that would have carried that move out, had
   // it ever been decided.
-  if (state_.moved && state_.moved->epoch < a.epoch) state_.moved.reset();
-  if (state_.moved) return say::Refused{std::max(state_.promised, a.epoch)};
-  state_.promised = a.epoch;
-  if (a.config.version > state_.config.version) state_.config = a.config;
-  // Its own end, or an entry of an epoch that was given up: the owner goes back to one that both have.
-  if (a.after > state_.last()) return say::Behind{a.epoch, state_.last()};
-  if (state_.epoch_at(a.after) != a.after_epoch) return say::Behind{a.epoch, a.after - 1};
-  Position at = a.after;
-  for (const auto& e : a.entries) {
-    at++;
-    if (at <= state_.last() && state_.epoch_at(at) == e.epoch) continue;  // said again
-    // What stands from here on was never acknowledged by a quorum.
-    if (at <= state_.last()) state_.entries.resize(at - 1);
-    state_.entries.push_back(e);
+  if (state_.moved && state_.moved->epoch < epoch) state_.moved.reset();
+  // One that has moved takes nothing more, whoever writes.
+  if (state_.moved) {
+    out.answer = say::Refused{std::max(state_.promised, epoch)};
+    return false;
+  }
+  state_.promised = epoch;
+  if (config.version > state_.config.version) state_.config = config;
+  return true;
+}
+
+// A position and the epoch of its entry name all entries up to there: one epoch has one writer, whose entries
+// follow on what its claim found.
+void Holder::append(const say::Append& a, Heard& out) {
+  if (!writes(a.epoch, a.config, out)) return;
+  const Position until = a.after + a.entries.size();
+  const bool follows = a.after == state_.last && a.after_epoch == state_.last_epoch;
+  const bool overlaps = a.after < state_.last && state_.last <= until &&
+                        a.entries[state_.last - a.after - 1].epoch == state_.last_epoch;
+  // Said again, and late: the holder has it, and more of this owner's.
+  const bool old = until < state_.last && state_.last_epoch == a.epoch;
+  if (!follows && !overlaps && !old) {
+    out.answer = say::Behind{a.epoch, state_.last, state_.last_epoch};
+    return;
   }
-  return say::Appended{a.epoch, at, state_.config.version};
+  for (Position p = state_.last; p < until; p++) out.entries.push_back(a.entries[p - a.after]);
+  if (!out.entries.empty()) state_.last = until, state_.last_epoch = out.entries.back().epoch;
+  out.answer = appended(a.epoch);
+}
+
+void Holder::snapshot(const say::Snapshot& s, Heard& out) {
+  if (!writes(s.epoch, s.config, out)) return;
+  // Said again, and late: what was added since under this epoch stands.
+  const bool old = s.last <= state_.last && state_.last_epoch == s.epoch;
+  if (!old || HERONVANE_COPIES_DEFECT("snapshot goes back"))
+    state_.last = s.last, state_.last_epoch = s.last_epoch, out.replaced = true;
+  out.answer = appended(s.epoch);
 }
 
 Saying Holder::claim(const say::Claim& c) {
   if (c.epoch < state_.promised) return say::Refused{state_.promised};
   state_.promised = c.epoch;
-  return say::Promised{c.epoch, state_.last(), state_.epoch_at(state_.last()), state_.config, state_.moved};
+  return say::Promised{c.epoch, state_.last, state_.last_epoch, state_.config, state_.moved};
 }
 
 Saying Holder::read(const say::Read& r) const {
   if (r.epoch < state_.promised) return say::Refused{state_.promised};
-  say::Entries out{r.epoch, r.from, {}};
-  for (Position p = r.from; p > 0 && p <= state_.last() && out.entries.size() < most_entries_; p++)
-    out.entries.push_back(state_.entries[p - 1]);
-  return out;
+  return say::State{r.epoch, state_.last, state_.last_epoch};
 }
 
 Saying Holder::move(const say::Move& m) {
--- a/relay/copies/log.cpp
+++ b/relay/copies/log.cpp
@@ -35,17 +35,21 @@
       out << "appended " << x.epoch << " to " << x.last << " config " << x.config.epoch << "."
           << x.config.number;
     }
-    void operator()(const say::Behind& x) const { out << "behind " << x.epoch << " from " << x.from; }
+    void operator()(const say::Behind& x) const {
+      out << "behind " << x.epoch << " at " << x.last << " of " << x.last_epoch;
+    }
+    void operator()(const say::Snapshot& x) const {
+      out << "snapshot " << x.epoch << " to " << x.last << " of " << x.last_epoch << " " << x.config;
+    }
     void operator()(const say::Refused& x) const { out << "refused for " << x.promised; }
     void operator()(const say::Claim& x) const { out << "claim " << x.epoch; }
     void operator()(const say::Promised& x) const {
       out << "promised " << x.epoch << " last " << x.last << " of " << x.last_epoch << " " << x.config;
       if (x.moved) out << " moved into " << x.moved->into << " under " << x.moved->epoch;
     }
-    void operator()(const say::Read& x) const { out << "read " << x.epoch << " from " << x.from; }
-    void operator()(const say::Entries& x) const {
-      out << "entries " << x.epoch << " from " << x.from;
-      list(out, x.entries);
+    void operator()(const say::Read& x) const { out << "read " << x.epoch; }
+    void operator()(const say::State& x) const {
+      out << "state " << x.epoch << " to " << x.last << " of " << x.last_epoch;
     }
     void operator()(const say::Move& x) const { out << "move " << x.epoch << " into " << x.into; }
     void operator()(const say::Accepted& x) const { out << "accepted " << x.epoch; }
--- a/relay/copies/log.hpp
+++ b/relay/copies/log.hpp
@@ -85,10 +85,19 @@
   Position last = 0;  // the holder has all up to there, as the owner has it
   Version config;     // that it has kept
 };
-// The holder lacks what comes before `after`, or has another entry there: the owner goes back to `from`.
+// The holder has not what comes before `after`, as it is told there: this is what it has.
 struct Behind {
   Epoch epoch;
-  Position from = 0;
+  Position last = 0;
+  Epoch last_epoch;
+};
+// The owner to a holder that lacks more than the owner still has by entries: the state itself, as all entries
+// up to `last` made it. It travels beside this word, and counts once it is whole (streams.hpp).
+struct Snapshot {
+  Epoch epoch;
+  Position last = 0;
+  Epoch last_epoch;
+  Config config;
 };
 // The holder has promised a higher epoch.
 struct Refused {
@@ -105,14 +114,14 @@
   Config config;
   std::optional<Moved> moved;
 };
+// For the state that the promise told of, which travels beside the answer.
 struct Read {
   Epoch epoch;
-  Position from = 0;  // the first that is wanted
 };
-struct Entries {
+struct State {
   Epoch epoch;
-  Position from = 0;
-  std::vector<Entry> entries;
+  Position last = 0;
+  Epoch last_epoch;
 };
 // The claimant to a holder: the log goes `into` this one.
 struct Move {
@@ -123,8 +132,8 @@
   Epoch epoch;
 };
 }  // namespace say
-using Saying = std::variant<say::Append, say::Appended, say::Behind, say::Refused, say::Claim, say::Promised,
-                            say::Read, say::Entries, say::Move, say::Accepted>;
+using Saying = std::variant<say::Append, say::Appended, say::Behind, say::Snapshot, say::Refused, say::Claim,
+                            say::Promised, say::Read, say::State, say::Move, say::Accepted>;
 
 std::ostream& operator<<(std::ostream& out, const Config& c);
 std::ostream& operator<<(std::ostream& out, const Saying& s);
--- a/relay/copies/owner.hpp
+++ b/relay/copies/owner.hpp
@@ -2,6 +2,7 @@
 // no clock.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -19,9 +20,9 @@
 
 class Owner {
  public:
-  // `entries`: the log as it stands on the owner's disk, or as a claim found it (claim.hpp). `epoch` is the
-  // owner's: of a log that it begins, or that its claim won.
-  Owner(Member self, Epoch epoch, Config config, std::vector<Entry> entries, OwnerOptions options);
+  // `last`, `last_epoch`: where the log stands on the owner's disk, or where a claim found it (claim.hpp).
+  // `epoch` is the owner's: of a log that it begins, or that its claim won.
+  Owner(Member self, Epoch epoch, Config config, Position last, Epoch last_epoch, OwnerOptions options);
 
   // The next entry stands on the owner's own disk.
   void wrote(std::string bytes);
@@ -29,18 +30,30 @@
   // fenced. What was written under earlier epochs stands with the first entry under this one (Raft, 5.4.2):
   // after a claim the owner writes one at once.
   Position durable() const { return durable_; }
-  Position last() const { return entries_.size(); }
-  const std::vector<Entry>& entries() const { return entries_; }
+  Position last() const { return base_ + entries_.size(); }
+  Epoch epoch_at(Position p) const;  // from base() on
   const Epoch& epoch() const { return epoch_; }
   const Config& config() const { return config_; }
 
+  // Entries after this are kept, for holders that lack them.
+  Position base() const { return base_; }
+  std::uint64_t bytes() const { return bytes_; }  // of the entries kept
+  // Lets go what all holders have, and more, the oldest first, until `most` bytes are left: a holder that
+  // lacks any of it then needs a snapshot.
+  void trim(std::uint64_t most);
+
   // A holder promised a higher epoch, this one: nothing stands any more until the owner has claimed a higher
   // one itself.
   const std::optional<Epoch>& fenced() const { return fenced_; }
 
   // What is to be sent to a holder now: what it lacks, or, with `ask`, a word that the owner lives. At most
-  // one Append is out to each; `again` says that the last one was lost, or its answer.
+  // one Append is out to each; `again` says that the last one was lost, or its answer. Nothing while the
+  // holder needs a snapshot.
   std::optional<Letter> next(const Member& holder, bool ask = false);
+  // The entries that it lacks are not kept, or it has others: it needs the state itself. `snapshot` is the
+  // word that goes with the state as it stands now; it counts as out.
+  bool needs_snapshot(const Member& holder) const;
+  std::optional<Letter> snapshot(const Member& holder);
   void again(const Member& holder);
   void hear(const Member& from, const Saying& saying);
 
@@ -59,14 +72,18 @@
     Position has = 0;   // as it told
     Position from = 0;  // the next Append begins after it
     Version config;
-    bool out = false;
+    bool out = false, differs = false;
   };
   void settle();
 
   Member self_;
   Epoch epoch_;
   Config config_;
-  std::vector<Entry> entries_;
+  Position start_;    // where this epoch began
+  Position base_;     // before the first entry that is kept,
+  Epoch base_epoch_;  // of the entry there
+  std::deque<Entry> entries_;
+  std::uint64_t bytes_ = 0;
   OwnerOptions options_;
   std::map<Member, Progress> progress_;
   Position durable_ = 0;
--- a/tests/copies/model.hpp
+++ b/tests/copies/model.hpp
@@ -22,6 +22,7 @@
   std::uint64_t epochs = 3;   // the highest number of an epoch
   int crashes = 2, disks = 1, changes = 1, repeats = 1;
   int take_overs = 2;  // claims by holders that begin
+  int trims = 1;       // of what the owner keeps of its log
 };
 
 // Defects of whoever uses the decisions; those of the decisions themselves stand in their sources.
@@ -35,6 +36,7 @@
 struct Wire {
   Member from, to;
   Saying saying;
+  std::vector<Entry> state;  // that travels beside it: all entries that made it
 };
 
 class Model {
@@ -61,12 +63,14 @@
     // On its disk.
     std::vector<Entry> disk;  // of the owner
     HolderState holder, before;
-    bool has_log = false;         // of a holder
+    std::vector<Entry> kept, kept_before;  // the holder's state, as the entries that made it
+    bool has_log = false;                  // of a holder
     std::vector<Entry> imported;  // into its own log, by a claim that was about to move the other one there
     std::uint64_t used = 0;       // the highest number of an epoch that it claimed
     // Gone with the process.
     std::optional<Owner> owner;
     std::optional<Claim> claim;
+    std::vector<Entry> read;  // by the claim
   };
   struct Won {
     Member by;
@@ -77,6 +81,8 @@
   void post(const Member& from, const Letter& letter);
   void claim(Node& node, Claim::Purpose purpose, std::uint64_t above);
   void look(Node& node);  // at what it may act on now
+  void send(Node& node, const Member& holder);
+  void write(Node& node, const std::string& bytes);
   void crash(Node& node);
   void lose_disk(Node& node);
   bool room() const { return net_.size() < bounds_.under_way; }
