Copies of a relay's log at others: streams, logs held for others, take-overs

What a relay took on died with its machine. With [copies] in the operator's settings (off without it, and not in the platform's build) a message is answered 202 once its entry stands at holders, too; what a lost relay owed is taken over by one of them; an owner thought gone is fenced and drops what it held; a relay that starts asks its holders first, and reads what an older disk lacks.

--- a/relay/command_line.cpp
+++ b/relay/command_line.cpp
@@ -16,6 +16,8 @@
     "  --settings FILE    the operator's settings, TOML (HERONVANE_SETTINGS)\n"
     "  --run ID           this run's id, 16 hexadecimal digits; else one is drawn\n"
     "  --undrain FENCE    take a drain back that is kept in the folder\n"
+    "  --force-own        with copies: go on with what this folder holds, holders\n"
+    "                     unasked; what another relay took over may run twice\n"
     "  --check-config     read the configuration and the settings, say what is there,\n"
     "                     and end\n"
     "  --version, -h, --help\n"
@@ -54,6 +56,7 @@
     const std::string name = word.substr(0, equals);
     bool* const flag = name == "--check-config"           ? &c.check_config
                        : name == "--version"              ? &c.version
+                       : name == "--force-own"            ? &c.force_own
                        : name == "--help" || name == "-h" ? &c.help
                                                           : nullptr;
     const bool valued = name == "--config" || name == "--state" || name == "--settings" || name == "--run" ||
--- a/relay/command_line.hpp
+++ b/relay/command_line.hpp
@@ -13,6 +13,8 @@
   std::string config, state, settings;  // paths; empty: not given
   std::string run;                      // 16 hexadecimal digits; empty: one is drawn
   std::optional<std::int64_t> undrain;  // the fence under which a drain is taken back
+  // What the folder holds is this relay's, whatever its copies at others say; it is not asked.
+  bool force_own = false;
   bool check_config = false, version = false, help = false;
 };
 
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kOtherFiles = 24;
 // The admin socket's: the one that listens, its connections, one that is turned away.
 constexpr std::size_t kAdminFiles = 10;
+// Of copies: connections to members and from them, three files for each log that is held for another one.
+constexpr std::size_t kCopiesFiles = 80;
 
 boost::asio::ip::udp::endpoint udp(const std::string& text, const std::string& path) {
   const auto address = read_address(text, path);
@@ -111,8 +113,11 @@
   c.own = load_operator_settings(places.settings);
   if (c.own.admin.socket) {
     c.client_connections -= kAdminFiles / 2, c.endpoint_connections -= kAdminFiles / 2;
-    c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
   }
+  if (c.own.copies.on)
+    c.client_connections -= std::min(c.client_connections / 2, kCopiesFiles / 2),
+        c.endpoint_connections -= std::min(c.endpoint_connections / 2, kCopiesFiles / 2);
+  c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
   return c;
 }
 
--- /dev/null
+++ b/relay/copies/facts.hpp
@@ -0,0 +1,16 @@
+// Keys of what a relay's own store keeps of its copies.
+#pragma once
+
+#include <string>
+
+namespace heronvane::copies {
+
+inline const std::string kOwnFacts = "copies.";          // all of them begin so
+inline const std::string kMember = "copies.member";      // the incarnation of this disk
+inline const std::string kLog = "copies.log";            // the number of the log that this relay writes
+inline const std::string kConfig = "copies.config";      // who holds it
+inline const std::string kAt = "copies.at";              // where it ends: position, and its entry's epoch
+inline const std::string kEpoch = "copies.epoch";        // the highest number of an epoch that was used
+inline const std::string kImportKey = "copies.import.";  // of another log, whose take-over is not decided
+
+}  // namespace heronvane::copies
--- /dev/null
+++ b/relay/copies/streams.hpp
@@ -0,0 +1,63 @@
+// Connections between members: one to each that this relay says something to, those of others that come in.
+// Frames in order, answers on the connection that asked. One thread: all calls from the one that runs `io`.
+//
+// A connection begins with a hello of each side. A stranger, another cluster, what can't be read or is longer
+// than allowed, is closed and counted. One that is silent while it owes an answer is closed after kSilence.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "packet.hpp"
+
+namespace heronvane::copies {
+
+class Streams {
+ public:
+  using Address = boost::asio::ip::tcp::endpoint;
+  static constexpr auto kSilence = std::chrono::seconds(3);
+  static constexpr auto kConnectTime = std::chrono::seconds(2), kRetry = std::chrono::milliseconds(150);
+  static constexpr std::size_t kMostIncoming = 32;        // connections of others
+  static constexpr std::size_t kMostUnderWay = 64 << 20;  // bytes that wait to be sent on a connection
+
+  using Reply = std::function<void(Packet)>;  // at most once; later than the connection, it does nothing
+  struct Hooks {
+    std::function<bool(const std::string& name)> knows;  // a member's name
+    // How far this relay is, and what that member told of itself: fills in `mark` and `seen_...`.
+    std::function<void(const std::string& name, Hello& hello)> greet;
+    std::function<void(const Hello& hello)> met;        // by any connection, before all else on it
+    std::function<void(const Member& peer)> up;         // a connection to it stands
+    std::function<void(const std::string& name)> down;  // no longer; what was said may be lost
+    std::function<void(const Member& from, Packet packet)> answer;  // to what was said
+    std::function<void(const Member& from, Packet packet, Reply reply)> asked;
+  };
+  struct Counts {
+    std::uint64_t strangers = 0, unreadable = 0, sent_bytes = 0, received_bytes = 0;
+  };
+
+  // Listens at once. Throws std::runtime_error where the address can't be had.
+  Streams(boost::asio::io_context& io, const Address& listen, Hello self, Hooks hooks);
+  ~Streams();
+  Streams(const Streams&) = delete;
+  Streams& operator=(const Streams&) = delete;
+
+  // Connects to that member, and again whenever the connection has ended.
+  void keep(const std::string& name, const Address& address);
+  void leave(const std::string& name);  // no longer
+  // Whom a connection stands to, as it said in its hello; nullptr: to none.
+  const Member* peer(const std::string& name) const;
+  // False, with nothing said, where there is no connection to exactly that member or too much waits.
+  bool say(const Member& to, const Packet& packet);
+  Counts counts() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace heronvane::copies
--- a/relay/core/status.cpp
+++ b/relay/core/status.cpp
@@ -134,6 +134,10 @@
   field(w, "told", s.list_told), field(w, "index", s.list_index);
   field(w, "endpoints", std::uint64_t{s.endpoints});
   w.EndObject();
+  if (!s.copies.empty()) {
+    w.Key("copies");
+    w.RawValue(s.copies.data(), s.copies.size(), rapidjson::kObjectType);
+  }
   w.EndObject();
   return {buffer.GetString(), buffer.GetSize()};
 }
--- a/relay/core/status.hpp
+++ b/relay/core/status.hpp
@@ -33,6 +33,7 @@
   bool list_told = false;
   std::int64_t list_index = 0;
   std::size_t endpoints = 0;
+  std::string copies;  // as JSON; empty: none are kept
 };
 std::string status_json(const Status& status);
 
--- a/relay/fronts/admin_request.cpp
+++ b/relay/fronts/admin_request.cpp
@@ -11,7 +11,7 @@
 
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 
-const std::string kMessages = "/v1/messages/";
+const std::string kMessages = "/v1/messages/", kTakeOver = "/v1/takeover/";
 
 void field(Writer& w, const char* key, const std::string& v) {
   w.Key(key), w.String(v.data(), static_cast<rapidjson::SizeType>(v.size()));
@@ -106,8 +106,18 @@
                          "visible ASCII, others than letters and digits as %XX");
     return only_get(method, admin::GetMessage{std::move(*id)});
   }
-  return admin_error(404, "unknown", "no such path",
-                     "known: /v1/status, /v1/messages/ID, /v1/drain, /v1/undrain, /v1/fence");
+  if (path.compare(0, kTakeOver.size(), kTakeOver) == 0) {
+    auto name = decoded(path.substr(kTakeOver.size()));
+    if (!name)
+      return admin_error(400, "bad_request", "the relay's name can't be read",
+                         "visible ASCII, others than letters and digits as %XX");
+    if (method != "POST")
+      return admin_error(405, "bad_request", method + ": this is asked by POST", "use POST");
+    return admin::TakeOver{std::move(*name)};
+  }
+  return admin_error(
+      404, "unknown", "no such path",
+      "known: /v1/status, /v1/messages/ID, /v1/drain, /v1/undrain, /v1/fence, /v1/takeover/NAME");
 }
 
 }  // namespace heronvane
--- a/relay/fronts/admin_request.hpp
+++ b/relay/fronts/admin_request.hpp
@@ -23,6 +23,9 @@
 struct RaiseFence {
   Fence fence = 0;
 };
+struct TakeOver {
+  std::string name;  // of the relay whose log it is
+};
 }  // namespace admin
 
 struct AdminAnswer {
@@ -32,7 +35,7 @@
 
 // What is asked, or the answer where that makes no sense.
 using AdminRequest = std::variant<admin::GetStatus, admin::GetMessage, admin::Drain, admin::Undrain,
-                                  admin::RaiseFence, AdminAnswer>;
+                                  admin::RaiseFence, admin::TakeOver, AdminAnswer>;
 AdminRequest read_admin_request(const std::string& method, const std::string& target,
                                 const std::string& body);
 
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -51,6 +51,7 @@
   heronvane::Relay::Start start;
   start.run = options.run.empty() ? drawn_run() : options.run;
   start.undrain = options.undrain;
+  start.force_own = options.force_own;
   start.drained = [&io] { io.stop(); };
   heronvane::Relay relay(io, config, std::move(start));
   ends.async_wait([&](boost::system::error_code bad, int) {
--- a/relay/operator_settings.cpp
+++ b/relay/operator_settings.cpp
@@ -9,7 +9,9 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <cctype>
 #include <cmath>
+#include <functional>
 #include <vector>
 #endif
 
@@ -57,6 +59,33 @@
     }
     malformed(*node, key, "must be " + all);
   }
+  void text(const std::string& key, std::string& value) {
+    if (const auto* node = known(key)) {
+      if (!node->is_string() || node->as_string()->get().empty()) malformed(*node, key, "must be a text");
+      value = node->as_string()->get();
+    }
+  }
+  void whole(const std::string& key, std::int64_t least, std::int64_t most, std::int64_t& value) {
+    if (const auto* node = known(key)) {
+      const auto v = node->is_integer() ? node->value<std::int64_t>() : std::nullopt;
+      if (!v || *v < least || *v > most)
+        malformed(*node, key,
+                  "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+      value = *v;
+    }
+  }
+  void each(const std::string& key, const std::function<void(const toml::table&)>& read) {
+    const auto* node = known(key);
+    if (node == nullptr) return;
+    const auto* all = node->as_array();
+    if (all == nullptr || !all->is_array_of_tables())
+      malformed(*node, key, "must be tables, each begun by [[" + name_ + "." + key + "]]");
+    for (const auto& one : *all) read(*one.as_table());
+  }
+  [[noreturn]] void malformed(const std::string& what) const {
+    throw std::runtime_error(file_ + ":" + std::to_string(table_.source().begin.line) + ": " + name_ + ": " +
+                             what);
+  }
   // What was not asked for is a slip of the pen, and must not pass for its default.
   void done() const {
     for (const auto& [key, node] : table_)
@@ -80,6 +109,46 @@
   std::vector<std::string> known_;
 };
 
+// Names go into those of folders.
+bool plain_name(const std::string& name) {
+  return !name.empty() && name.size() <= 64 && name.front() != '.' &&
+         std::all_of(name.begin(), name.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
+void read_copies(Section& section, const std::string& file, copies::Settings& c) {
+  c.on = true;
+  section.flag("on", c.on);
+  section.text("cluster", c.cluster);
+  section.text("listen", c.listen);
+  std::int64_t holders = c.holders, disk_mb = 0;
+  section.whole("holders", 0, 4, holders);
+  section.word("acks", {{"majority", false}, {"all", true}}, c.all);
+  section.seconds("takeover_after_s", 86'400'000'000, c.takeover_after);
+  section.seconds("replace_after_s", 86'400'000'000, c.replace_after);
+  section.seconds("short_after_s", 10'000'000, c.short_after);
+  section.whole("disk_mb", 1, 1'000'000'000, disk_mb);
+  c.holders = static_cast<int>(holders), c.disk_bytes = static_cast<std::uint64_t>(disk_mb) * 1'000'000;
+  section.each("member", [&](const toml::table& table) {
+    Section one(table, "copies.member", file);
+    copies::Settings::Member m;
+    one.text("name", m.name);
+    one.text("address", m.address);
+    one.text("machine", m.machine);
+    one.text("zone", m.zone);
+    one.done();
+    if (!plain_name(m.name)) one.malformed("name must be 1 to 64 letters, digits, '-', '_' or '.'");
+    if (m.address.empty()) one.malformed("address is missing: ip:port of that relay's copies listener");
+    for (const auto& other : c.members)
+      if (other.name == m.name) one.malformed("name: " + m.name + " is there twice");
+    c.members.push_back(std::move(m));
+  });
+  if (!c.on) return;
+  if (c.cluster.empty()) section.malformed("cluster is missing: a name that all members have alike");
+  if (c.members.empty()) section.malformed("no [[copies.member]] is there");
+}
+
 }  // namespace
 
 OperatorSettings read_operator_settings(const std::string& text, const std::string& file) {
@@ -95,15 +164,17 @@
   for (const auto& [key, node] : all) {
     const std::string name(key.str());
     const auto* table = node.as_table();
-    if (table == nullptr || (name != "admin" && name != "relay" && name != "store")) {
+    if (table == nullptr || (name != "admin" && name != "copies" && name != "relay" && name != "store")) {
       std::string what = file;
       what.append(":").append(std::to_string(node.source().begin.line)).append(": ").append(name);
-      throw std::runtime_error(what.append(": is no section; known are: admin, relay, store"));
+      throw std::runtime_error(what.append(": is no section; known are: admin, copies, relay, store"));
     }
     Section section(*table, name, file);
     if (name == "admin") {
       section.flag("socket", s.admin.socket);
       section.flag("drain", s.admin.drain);
+    } else if (name == "copies") {
+      read_copies(section, file, s.copies);
     } else if (name == "relay") {
       section.flag("wake", s.relay.wake);
       section.flag("early_rounds", s.relay.early_rounds);
--- a/relay/operator_settings.hpp
+++ b/relay/operator_settings.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "clock.hpp"
+#include "copies/settings.hpp"
 #include "store/store.hpp"
 
 namespace heronvane {
@@ -26,6 +27,7 @@
     bool wake = false;          // look at the list anew after a stop
     bool early_rounds = false;  // what can be sent need not wait for the settings' tick
   } relay;
+  copies::Settings copies;
 };
 
 // Throws std::runtime_error naming `file`, the line and the key that can't be read, or is none.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -95,6 +95,7 @@
       admin_(open_admin()),
       sync_thread_(sync_thread()),
       store_(*folder_, store_options(config), sync_thread_.get()),
+      copies_(open_copies()),
       list_memory_(store_.facts(), config.known, store_.clock().now(),
                    [this](const std::string& key, const std::string& value) { return keep(key, value); }),
       known_(list_memory_.known(config.known)),
@@ -132,7 +133,13 @@
   start_drained();
   recall(directory_.all());
   HERONVANE_POINT("recover.taken-back");
-  recover();
+  // With copies, once it is known that the log is still this relay's.
+  if (copies_) {
+    copies_->start();
+  } else {
+    without_copies();
+    recover();
+  }
   HERONVANE_POINT("recover.done");
   intake_.emplace(
       io, std::move(listener_), config.settings, config.names,
@@ -156,7 +163,10 @@
 }
 
 // Syncs that are under way need the store's files.
-Relay::~Relay() { sync_thread_.reset(); }
+Relay::~Relay() {
+  copies_.reset();
+  sync_thread_.reset();
+}
 
 std::unique_ptr<store::SyncThread> Relay::sync_thread() {
   if (config_.own.store.durability != store::Durability::machine) return nullptr;
@@ -164,35 +174,28 @@
       *folder_, [this](std::function<void()> done) { net::post(io_, std::move(done)); });
 }
 
+// Guards against a folder whose log went to another relay, started without asking those who know.
+void Relay::without_copies() {
+  constexpr const char* kPrefix = "copies.";
+  std::vector<std::string> keys;
+  for (auto it = store_.facts().lower_bound(kPrefix); it != store_.facts().end(); ++it)
+    if (it->first.compare(0, std::char_traits<char>::length(kPrefix), kPrefix) == 0)
+      keys.push_back(it->first);
+  if (keys.empty()) return;
+  if (!store_.held().empty() && !start_.force_own)
+    throw std::runtime_error(
+        "settings: without [copies], but others hold copies of what this folder holds and may have taken it "
+        "over: start it with them, and drain it first; --force-own goes on all the same, and what was taken "
+        "over may run twice");
+  for (const auto& key : keys) store_.put(store::record::Fact{key, {}});
+}
+
 // What was taken on in an earlier life is still owed its end.
 void Relay::recover() {
   if (HERONVANE_DEFECT("forget-folder")) return;
   std::vector<MessageId> unknown;
-  const Time now = store_.clock().now();
-  for (const auto& [id, held] : store_.held()) {
-    numbers_[held.message.id] = id;
-    if (admin_) gauge_.taken(id, held.message.message_class, held_since(held));
-    if (held.ending) {
-      platform_.notice(id, held.message.id, *held.ending);
-      continue;
-    }
-    if (config_.names.classes.count(held.message.message_class) == 0) {
-      unknown.push_back(id);
-      continue;
-    }
-    event::Recovered r;
-    r.message = arrival(id, held.message);
-    r.attempts = static_cast<int>(held.attempts.size());
-    for (const auto& a : held.attempts) {
-      if (!a.may_have_run() || r.may_have_run_zone) continue;
-      r.may_have_run_zone = a.zone;
-      r.may_have_run_ago = std::max<Time>(now - a.sent, 0);
-    }
-    // Called at a time and place that no record tells.
-    if (held.doubt) r.may_have_run_zone = -1, r.may_have_run_ago = kLongAgo;
-    if (HERONVANE_DEFECT("forget-attempt")) r.may_have_run_zone.reset();
-    events_.push_back(std::move(r));
-  }
+  for (const auto& [id, held] : store_.held())
+    if (!(copies_ && copies_->parked(id)) && !adopt(id, held)) unknown.push_back(id);
   Plan plan;
   for (const MessageId id : unknown) finish(plan, id, {});  // a class that the settings no longer have
   settle(std::move(plan));
@@ -200,6 +203,31 @@
   round();
 }
 
+// One that is held and that the module does not know; false: of a class that the settings do not have.
+bool Relay::adopt(MessageId id, const Held& held) {
+  const Time now = store_.clock().now();
+  numbers_[held.message.id] = id;
+  if (admin_) gauge_.taken(id, held.message.message_class, held_since(held));
+  if (held.ending) {
+    platform_.notice(id, held.message.id, *held.ending);
+    return true;
+  }
+  if (config_.names.classes.count(held.message.message_class) == 0) return false;
+  event::Recovered r;
+  r.message = arrival(id, held.message);
+  r.attempts = static_cast<int>(held.attempts.size());
+  for (const auto& a : held.attempts) {
+    if (!a.may_have_run() || r.may_have_run_zone) continue;
+    r.may_have_run_zone = a.zone;
+    r.may_have_run_ago = std::max<Time>(now - a.sent, 0);
+  }
+  // Called at a time and place that no record tells.
+  if (held.doubt) r.may_have_run_zone = -1, r.may_have_run_ago = kLongAgo;
+  if (HERONVANE_DEFECT("forget-attempt")) r.may_have_run_zone.reset();
+  events_.push_back(std::move(r));
+  return true;
+}
+
 event::Arrival Relay::arrival(MessageId id, const Message& m) const {
   event::Arrival a;
   a.id = id;
@@ -213,7 +241,8 @@
 
 bool Relay::ready() const {
   if (HERONVANE_DEFECT("never-ready-again") && HERONVANE_SECOND_LIFE()) return false;
-  return !stopping_ && !drain_.drain && !unwritten_ && store_.trouble().empty() && directory_.any_active();
+  return !stopping_ && !drain_.drain && !unwritten_ && copied() && store_.trouble().empty() &&
+         directory_.any_active();
 }
 
 // ---- What comes in. ----
@@ -227,7 +256,7 @@
     return reply({202, 0});
   if (HERONVANE_DEFECT_NOW("forget-message")) return reply({202, 0});
   if (HERONVANE_DEFECT_NOW("crash")) std::abort();
-  if (drain_.drain) return reply({503, kComeBack});
+  if (drain_.drain || !copied()) return reply({503, kComeBack});
   // Before discovery has told its list, an unknown destination may only be unknown yet.
   if (!directory_.knows(message.destination))
     return list_told_ ? reply({404, 0, "unknown destination"}) : reply({503, kComeBack});
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -22,6 +22,7 @@
 #include "core/drain.hpp"
 #include "core/held_gauge.hpp"
 #include "core/list_memory.hpp"
+#include "core/log_copies.hpp"
 #include "core/outbox.hpp"
 #include "core/round_gap.hpp"
 #include "core/status.hpp"
@@ -43,8 +44,9 @@
   // Takes the folder and the addresses, then what an earlier life left; from then on clients are accepted.
   // Throws where the folder or an address is in use; what is held was not touched then.
   struct Start {
-    std::string run;                // the id of this process's run
-    std::optional<Fence> undrain;   // takes back a drain that is kept; the start fails under a lower fence
+    std::string run;               // the id of this process's run
+    std::optional<Fence> undrain;  // takes back a drain that is kept; the start fails under a lower fence
+    bool force_own = false;  // with copies: what the folder holds is this relay's, its holders are not asked
     std::function<void()> drained;  // a drain is done and told: nothing is held or owed any more
   };
   Relay(boost::asio::io_context& io, const Config& config, Start start);
@@ -66,6 +68,7 @@
   std::unique_ptr<Peers> hear_peers();
   std::unique_ptr<store::SyncThread> sync_thread();
   void recover();
+  bool adopt(MessageId id, const Held& held);
   void tell_listed(const std::vector<cedarplank::Endpoint>& endpoints);
   void tell_next_listed();
   void recall(const std::vector<cedarplank::Endpoint>& endpoints);
@@ -121,6 +124,14 @@
   std::unique_ptr<Front> open_admin();
   Status status() const;
 
+  // relay_copies.cpp, or relay_no_copies.cpp in a build without them
+  std::unique_ptr<LogCopies> open_copies();
+  void without_copies();
+  void disown();
+  void taken_over(MessageId from, MessageId to);
+  // What is handed in now can be kept as the settings ask.
+  bool copied() const { return !copies_ || (copies_->ready() && !copies_->is_short()); }
+
   bool ready() const;
   cedarplank::event::Arrival arrival(MessageId id, const Message& m) const;
 
@@ -135,8 +146,9 @@
   std::unique_ptr<Front> admin_;                    // where the operator's settings ask for it
   std::unique_ptr<store::SyncThread> sync_thread_;  // where records must outlast the machine
   store::Store store_;
-  Outbox outbox_;           // until their records stand
-  bool unwritten_ = false;  // the store can't be written now: the module is not asked
+  std::unique_ptr<LogCopies> copies_;  // where the operator's settings ask for them
+  Outbox outbox_;                      // until their records stand
+  bool unwritten_ = false;             // the store can't be written now: the module is not asked
   std::map<std::string, std::string> kept_meanwhile_;
   ListMemory list_memory_;
   MemberList known_;  // the configuration's list, as it holds
--- a/relay/relay_admin.cpp
+++ b/relay/relay_admin.cpp
@@ -73,6 +73,16 @@
       change(f.fence, relay.drain_.drain,
              [fence = f.fence] { return "{\"fence\":" + std::to_string(fence) + "}"; });
     }
+    void operator()(const admin::TakeOver& t) const {
+      if (!relay.copies_)
+        return reply(admin_error(409, "off", "this relay keeps no copies of others' logs",
+                                 "[copies] in its settings; docs/operate/copies.md"));
+      const std::string why_not =
+          relay.copies_->ready() ? relay.copies_->take_over(t.name) : "its own log is not known to stand yet";
+      if (!why_not.empty())
+        return reply(admin_error(409, "refused", why_not, "look at \"copies\" in the status of the others"));
+      reply({200, "{\"taking_over\":true}"});
+    }
     void change(Fence fence, std::optional<Fence> drain, std::function<std::string()> text) const {
       if (fence < relay.drain_.fence) return reply(admin_fenced(fence, relay.drain_.fence));
       relay.change_drain({fence, drain}, [r = &relay, told = reply, text = std::move(text)](bool kept) {
@@ -105,6 +115,7 @@
   }
   s.store_bytes = store_.bytes(), s.store_limit = store_.limit(), s.segments = store_.segments().size();
   s.memory_kb = memory_kb(), s.descriptors = open_descriptors();
+  if (copies_) s.copies = copies_->status_json();
   s.list_told = list_told_, s.list_index = platform_.index(), s.endpoints = directory_.size();
   return s;
 }
--- a/tests/kept_test.cpp
+++ b/tests/kept_test.cpp
@@ -193,6 +193,34 @@
   EXPECT_EQ(error("[store\n").substr(0, 4), "f:1:");
   EXPECT_EQ(error(""), "none");
 }
+
+TEST(OperatorSettings, WhoMayHoldCopies) {
+  const std::string head = "[copies]\ncluster = \"north\"\n", one = "[[copies.member]]\nname = \"n0\"\n";
+  const auto c = read_operator_settings(head + "holders = 3\nacks = \"all\"\ntakeover_after_s = 0\n" + one +
+                                            "address = \"10.0.0.1:9400\"\nzone = \"a\"\n",
+                                        "f")
+                     .copies;
+  EXPECT_TRUE(c.on && c.all);
+  EXPECT_EQ(c.holders, 3);
+  EXPECT_EQ(c.takeover_after, 0);
+  ASSERT_EQ(c.members.size(), 1u);
+  EXPECT_EQ(c.members[0].address, "10.0.0.1:9400");
+  EXPECT_FALSE(read_operator_settings("", "f").copies.on);
+  const auto error = [](const std::string& text) -> std::string {
+    try {
+      read_operator_settings(text, "f");
+    } catch (const std::runtime_error& e) {
+      return e.what();
+    }
+    return "none";
+  };
+  EXPECT_EQ(error("[copies]\n"), "f:1: copies: cluster is missing: a name that all members have alike");
+  EXPECT_EQ(error(head), "f:1: copies: no [[copies.member]] is there");
+  EXPECT_EQ(error(head + "holders = 5\n"), "f:3: copies.holders: must be a whole number from 0 to 4");
+  EXPECT_EQ(error(head + one).substr(0, 36), "f:3: copies.member: address is missi");
+  EXPECT_EQ(error(head + "[[copies.member]]\nname = \"../n\"\naddress = \"1.2.3.4:5\"\n").substr(0, 31),
+            "f:3: copies.member: name must b");
+}
 #endif
 
 }  // namespace
