Fleet file and heronvanectl: who holds copies, and what is under-copied

An operator of a fleet names copies once: [fleet.copies], and each instance's copies address, machine and zone; the agent writes [copies] into every relay's settings and refuses what a relay would refuse. heronvanectl show names holders, what they lack, whose logs the relay holds, and says UNDER-COPIED while a further loss may lose what is held.

--- a/cli/fleet_file.cpp
+++ b/cli/fleet_file.cpp
@@ -117,6 +117,7 @@
       w_.Key("settings"), named(fleet, "settings", settings, false);
     if (const auto* t = fleet.table("limits")) limits(*t);
     if (const auto* t = fleet.table("store")) store(*t);
+    if (const auto* t = fleet.table("copies")) copies(*t);
     fleet.done();
     if (platform != nullptr) this->platform(*platform);
     instances(top);
@@ -169,6 +170,50 @@
     s.done();
     w_.EndObject();
   }
+  // As [copies] of a relay's own settings has it; the agent reads it as the relay does.
+  void copies(const toml::table& table) {
+    Section s(table, "fleet.copies", file_);
+    w_.Key("copies");
+    w_.StartObject();
+    text("cluster", s.text("cluster"));
+    w_.Key("holders"), w_.Int64(s.whole("holders", 0, 4, 2));
+    if (const auto* node = s.find("acks")) {
+      const auto word = node->value<std::string>();
+      if (word != "majority" && word != "all") s.malformed(node, "acks", "must be \"majority\" or \"all\"");
+      text("acks", *word);
+    }
+    for (const char* key : {"takeover_after_s", "replace_after_s", "short_after_s"})
+      if (const auto* node = s.find(key)) {
+        const auto n = node->value<double>();
+        if (!n || !std::isfinite(*n) || *n < 0 || *n > 86'400)
+          s.malformed(node, key, "must be a number of seconds from 0 to 86400");
+        w_.Key(key), w_.Double(*n);
+      }
+    if (const auto n = s.whole("disk_mb", 1, 1'000'000'000, 0); n > 0) w_.Key("disk_mb"), w_.Int64(n);
+    if (const auto* node = s.find("member")) {
+      const auto* all = node->as_array();
+      if (all == nullptr) s.malformed(node, "member", "must be a list of tables: [[fleet.copies.member]]");
+      w_.Key("member");
+      w_.StartArray();
+      for (const auto& one : *all) {
+        if (!one.is_table()) s.malformed(&one, "member", "must be a table: [[fleet.copies.member]]");
+        Section m(*one.as_table(), "fleet.copies.member", file_);
+        w_.StartObject();
+        text("name", m.text("name"));
+        text("address", m.address("address", true, &taken_));
+        place(m);
+        m.done();
+        w_.EndObject();
+      }
+      w_.EndArray();
+    }
+    s.done();
+    w_.EndObject();
+  }
+  void place(Section& s) {
+    for (const char* key : {"machine", "zone"})
+      if (const auto v = s.text(key, ""); !v.empty()) text(key, v);
+  }
   void platform(const toml::table& table) {
     Section s(table, "platform", file_);
     w_.Key("platform");
@@ -209,6 +254,8 @@
         w_.StartObject();
         text("name", name);
         text("listen", s.address("listen", true, &taken_));
+        if (const auto there = s.address("copies", false, &taken_); !there.empty()) text("copies", there);
+        place(s);
         s.done();
         w_.EndObject();
       }
--- a/cli/model.cpp
+++ b/cli/model.cpp
@@ -126,6 +126,24 @@
   f.object("list", [&](const Fields& c) {
     c("told", s.list_told), c("index", s.list_index), c("endpoints", s.list_endpoints);
   });
+  f.object("copies", [&](const Fields& c) {
+    auto& k = s.copies.emplace();
+    c("phase", k.phase), c("taking_over", k.taking_over), c("ready", k.ready), c("short", k.is_short);
+    c("under_copied", k.under_copied), c("changing", k.changing), c("epoch", k.epoch), c("last", k.last);
+    c("stands", k.stands), c("waiting", k.waiting), c("copies", k.copies), c("taken_over", k.taken_over);
+    c.each("holders", [&](const Value& v, const std::string& at) {
+      const Fields h(v, at);
+      auto& one = k.holders.emplace_back();
+      h("name", one.name), h("trouble", one.trouble), h("connected", one.connected);
+      h("snapshot", one.snapshot), h("lag", one.lag);
+    });
+    c.each("held_for_others", [&](const Value& v, const std::string& at) {
+      const Fields h(v, at);
+      auto& one = k.held.emplace_back();
+      h("name", one.name), h("moved_to", one.moved_to), h("trouble", one.trouble);
+      h("messages", one.messages), h("bytes", one.bytes), h("heard_ms_ago", one.heard_ms_ago);
+    });
+  });
   f.each("targets", [&](const Value& v, const std::string& at) {
     const Fields t(v, at);
     Target target;
--- a/cli/model.hpp
+++ b/cli/model.hpp
@@ -40,6 +40,23 @@
   std::int64_t store_bytes = 0, store_limit = 0, segments = 0, memory_kb = 0, descriptors = 0;
   bool list_told = false;
   std::int64_t list_index = 0, list_endpoints = 0;
+  struct Copies {
+    struct Holder {
+      std::string name, trouble;
+      bool connected = false, snapshot = false;
+      std::int64_t lag = 0;
+    };
+    struct Held {
+      std::string name, moved_to, trouble;
+      std::int64_t messages = 0, bytes = 0, heard_ms_ago = 0;
+    };
+    std::string phase, taking_over;
+    bool ready = false, is_short = false, under_copied = false, changing = false;
+    std::int64_t epoch = 0, last = 0, stands = 0, waiting = 0, copies = 0, taken_over = 0;
+    std::vector<Holder> holders;
+    std::vector<Held> held;
+  };
+  std::optional<Copies> copies;  // where its log has any
 };
 
 struct Instance {
--- a/cli/render_detail.cpp
+++ b/cli/render_detail.cpp
@@ -51,6 +51,38 @@
   return table.empty() ? "" : "\n" + table.text(style);
 }
 
+// Who holds its log, and whose logs it holds.
+void copies(std::string& out, const RelayStatus::Copies& c, const Style& style) {
+  const auto f = [&](const std::string& name, const std::string& value) { field(out, name, value, style); };
+  f("copies",
+    (c.phase == "owning" ? std::to_string(c.copies) + " of " +
+                               count(static_cast<std::int64_t>(c.holders.size()), "holder", "holders") +
+                               (c.copies == 1 ? " has all" : " have all")
+                         : c.phase) +
+        ", epoch " + std::to_string(c.epoch) +
+        (c.waiting > 0 ? ", " + count(c.waiting, "entry waits", "entries wait") : "") +
+        (c.is_short ? ", too few holders: takes nothing on" : "") +
+        (c.changing ? ", a holder is being replaced" : "") +
+        (c.under_copied ? "; UNDER-COPIED: a further loss may lose what is held" : ""));
+  for (const auto& h : c.holders)
+    f("  held by", h.name +
+                       (!h.connected ? ", away"
+                        : h.snapshot ? ", gets a snapshot"
+                        : h.lag > 0  ? ", lacks " + count(h.lag, "entry", "entries")
+                                     : ", has all") +
+                       (h.trouble.empty() ? "" : ": " + h.trouble));
+  for (const auto& h : c.held)
+    f("  holds for",
+      h.name +
+          (h.moved_to.empty() ? ", " + count(h.messages, "message", "messages") + " in " + bytes(h.bytes) +
+                                    ", heard " + duration(h.heard_ms_ago) + " ago"
+                              : ", taken over by " + h.moved_to) +
+          (h.trouble.empty() ? "" : ": " + h.trouble));
+  if (c.taken_over > 0 || !c.taking_over.empty())
+    f("  taken over",
+      count(c.taken_over, "log", "logs") + (c.taking_over.empty() ? "" : "; now " + c.taking_over));
+}
+
 }  // namespace
 
 std::string render_instance(const Told<Instance>& told, const Style& style, std::int64_t now_ms) {
@@ -93,6 +125,7 @@
   f("list", s.list_told ? count(s.list_endpoints, "endpoint", "endpoints") + " at index " +
                               std::to_string(s.list_index)
                         : "not told yet");
+  if (s.copies) copies(out, *s.copies, style);
   return out + targets(s, style);
 }
 
--- a/fleet/fleet_file.cpp
+++ b/fleet/fleet_file.cpp
@@ -62,10 +62,12 @@
   return text;
 }
 
-std::string toml_of(const Value& store) {
+// As TOML, but for tables in it.
+std::string toml_of(const Value& table, const std::string& at) {
   std::string toml;
-  for (const auto& m : store.GetObject()) {
-    const std::string name = name_of(m.name), path = "fleet.store." + printable(name);
+  for (const auto& m : table.GetObject()) {
+    const std::string name = name_of(m.name), path = at + "." + printable(name);
+    if (m.value.IsArray()) continue;
     const bool plain = !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
       return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_';
     });
@@ -84,7 +86,8 @@
   const rapidjson::Document v = parse_json(json);
   const std::string path = "fleet";
   only(v, path,
-       {"max_unavailable", "program", "discovery", "settings", "limits", "store", "platform", "instances"});
+       {"max_unavailable", "program", "discovery", "settings", "limits", "store", "copies", "platform",
+        "instances"});
   Fleet f;
   FleetSpec& spec = f.spec_;
   spec.text = to_text(v);
@@ -119,11 +122,27 @@
 
   if (const Value* store = wire::find(v, "store")) {
     wire::as_object(*store, "fleet.store");
-    f.toml_ = toml_of(*store);
+    f.toml_ = toml_of(*store, "fleet.store");
     if (!f.toml_.empty()) read_operator_settings("[store]\n" + f.toml_, "fleet.store");
     flatten(*store, "store", spec.common);
   }
   spec.common.erase("store");  // an empty one says nothing
+  // Whom copies of a relay's log may go to: instances that tell their address, and members elsewhere.
+  const Value* const copies = wire::find(v, "copies");
+  std::string members;
+  if (copies != nullptr) {
+    wire::as_object(*copies, "fleet.copies");
+    f.copies_ = "\n[copies]\n" + toml_of(*copies, "fleet.copies");
+    if (const Value* others = wire::find(*copies, "member")) {
+      wire::as_array(*others, "fleet.copies.member");
+      for (rapidjson::SizeType i = 0; i < others->Size(); i++) {
+        const std::string at = "fleet.copies.member[" + std::to_string(i) + "]";
+        wire::as_object((*others)[i], at);
+        members += "[[copies.member]]\n" + toml_of((*others)[i], at);
+      }
+    }
+    flatten(*copies, "copies", spec.common);
+  }
 
   if (const Value* platform = wire::find(v, "platform")) {
     only(*platform, "fleet.platform", {"listen", "partners", "partners_file"});
@@ -157,7 +176,7 @@
   std::map<std::string, std::string> by_address;
   for (rapidjson::SizeType i = 0; i < instances.Size(); i++) {
     const std::string at = "fleet.instances[" + std::to_string(i) + "]";
-    only(instances[i], at, {"name", "listen"});
+    only(instances[i], at, {"name", "listen", "copies", "machine", "zone"});
     InstanceSpec one;
     one.name = wire::get(instances[i], "name", at, wire::as_text);
     check_name(one.name, at + ".name");
@@ -167,10 +186,31 @@
       throw std::runtime_error(at + ".name: " + one.name + " is there already");
     const auto [other, fresh] = by_address.emplace(listen, one.name);
     if (!fresh) throw std::runtime_error(at + ".listen: " + listen + " is " + other->second + "'s already");
+    if (const Value* held = wire::find(instances[i], "copies")) {
+      const std::string there = address(*held, at + ".copies");
+      if (copies == nullptr) throw std::runtime_error(at + ".copies: without fleet.copies nobody keeps any");
+      const auto [taken, unused] = by_address.emplace(there, one.name);
+      if (!unused) throw std::runtime_error(at + ".copies: " + there + " is " + taken->second + "'s already");
+      members += "[[copies.member]]\nname = " + to_text(instances[i]["name"]) +
+                 "\naddress = " + to_text(*held) + "\n";
+      for (const char* place : {"machine", "zone"})
+        if (const Value* told = wire::find(instances[i], place)) {
+          wire::as_text(*told, at + "." + place);
+          members += std::string(place) + " = " + to_text(*told) + "\n";
+        }
+    } else if (copies != nullptr) {
+      throw std::runtime_error(
+          at + ".copies: is missing: the address of its copies listener, as fleet.copies is there");
+    }
     if (f.platform_ && f.platform_->listen == listen)
       throw std::runtime_error(at + ".listen: " + listen + " is the platform's already");
     spec.instances.push_back(std::move(one));
   }
+  if (copies != nullptr) {
+    f.copies_ += members;
+    read_operator_settings(f.copies_, "fleet.copies");
+    spec.common["copies.members"] = members;  // each relay is told of a change
+  }
   // All configurations are alike but for names and addresses, which were looked at.
   f.listen_.emplace("", "127.0.0.1:1");
   const std::string config = f.config("", 0, 1);
@@ -208,6 +248,7 @@
 std::string Fleet::settings() const {
   std::string text = "[admin]\nsocket = true\ndrain = true\n";
   if (!toml_.empty()) text += "\n[store]\n" + toml_;
+  text += copies_;
   return text;
 }
 
--- a/fleet/fleet_file.hpp
+++ b/fleet/fleet_file.hpp
@@ -36,7 +36,7 @@
 
  private:
   FleetSpec spec_;
-  std::string program_, discovery_, relay_settings_, limits_, toml_;
+  std::string program_, discovery_, relay_settings_, limits_, toml_, copies_;
   std::optional<PlatformPart> platform_;
   std::map<std::string, std::string> listen_;  // by name
 };
--- a/tests/cli/fleet_file_test.cpp
+++ b/tests/cli/fleet_file_test.cpp
@@ -66,7 +66,7 @@
   EXPECT_EQ(
       fault("[fleet]\nmax = 1\n" + std::string("discovery = \"h:1\"\n")),
       "etc/fleet.toml:2: fleet.max: is not known; known here: max_unavailable, program, discovery, settings, "
-      "limits, store");
+      "limits, store, copies");
   EXPECT_EQ(fault(kFleet + "[relay]\nx = 1\n"),
             "etc/fleet.toml:3: relay: is not known; known here: fleet, platform, instance");
   EXPECT_EQ(fault(kFleet + "max_unavailable = 0\n"),
--- a/tests/fleet/fleet_file_test.cpp
+++ b/tests/fleet/fleet_file_test.cpp
@@ -45,6 +45,28 @@
   EXPECT_THROW(f.config("n2", 1, 1), std::exception);
 }
 
+TEST(FleetFileTest, InstancesAreMembersOfEachOthersCopies) {
+  const std::string head = R"({"discovery":"127.0.0.1:8500","copies":{"cluster":"north","holders":1,
+      "member":[{"name":"far","address":"10.0.0.9:9400","machine":"b"}]},"instances":[)";
+  const Fleet f =
+      Fleet::read(head + R"({"name":"n0","listen":"127.0.0.1:8081","copies":"127.0.0.1:9401","machine":"a"},
+      {"name":"n1","listen":"127.0.0.1:8082","copies":"127.0.0.1:9402"}]})");
+  const auto c = read_operator_settings(f.settings(), "f").copies;
+  EXPECT_TRUE(c.on);
+  EXPECT_EQ(c.holders, 1);
+  ASSERT_EQ(c.members.size(), 3u);
+  EXPECT_EQ(c.members[0].name, "far");
+  EXPECT_EQ(c.members[1].address, "127.0.0.1:9401");
+  EXPECT_EQ(c.members[1].machine, "a");
+  EXPECT_NE(
+      trouble(head + R"({"name":"n0","listen":"127.0.0.1:8081"}]})").find("instances[0].copies: is missing"),
+      std::string::npos);
+  EXPECT_NE(trouble(R"({"discovery":"127.0.0.1:8500","instances":[{"name":"n0","listen":"127.0.0.1:8081",
+                    "copies":"127.0.0.1:9401"}]})")
+                .find("without fleet.copies"),
+            std::string::npos);
+}
+
 TEST(FleetFileTest, ThePlatformIsTheirDiscovery) {
   const Fleet f = Fleet::read(R"({"platform":{"listen":"127.0.0.1:8500","partners":[]},)" + kTwo + "}");
   EXPECT_EQ(read_config(f.config("n0", 1, 1)).discovery.port(), 8500);
