--- a/lab/addresses.hpp
+++ b/lab/addresses.hpp
@@ -32,6 +32,11 @@
   Tcp platform_seen_by(Index relay) const { return {at(1, relay), 8500}; }
   Tcp relay_seen_by_clients(Index relay) const { return {at(2, relay), 8081}; }
   Udp relay_seen_by_peers(Index relay) const { return {at(3, relay), 7946}; }
+  // For copies of logs: where a relay listens, and how one sees the other.
+  Tcp copies(Index i) const { return {at(0, i), 8090}; }
+  Tcp copies_seen_by(Index relay, Index other) const {
+    return {at(1, relay), static_cast<std::uint16_t>(12000 + other)};
+  }
   Udp all_peers() const {
     return {boost::asio::ip::address_v4({127, static_cast<unsigned char>(net_ + 3), 255, 1}), 7946};
   }
--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -63,6 +63,8 @@
   }
 }
 
+constexpr int kMostCopying = 60;
+
 class Source {
  public:
   explicit Source(std::string path) : path_(std::move(path)) {}
@@ -341,6 +343,15 @@
   fleet.span("start_at_most", x.fleet.start_at_most);
   fleet.flag("notes", x.fleet.notes);
   fleet.text("settings", x.fleet.settings);
+  fleet.whole("copies", x.fleet.copies, 0, 4);
+  fleet.text("acks", x.fleet.acks);
+  if (x.fleet.acks != "majority" && x.fleet.acks != "all")
+    fleet.fail(fleet.find("acks"), "fleet.acks must be \"majority\" or \"all\"");
+  if (x.fleet.copies >= 0 && x.fleet.relays > kMostCopying)
+    fleet.fail(fleet.find("copies"), "fleet.copies: at most " + std::to_string(kMostCopying) +
+                                         " relays may keep copies, for each is linked with each");
+  fleet.span("takeover_after", x.fleet.takeover_after);
+  fleet.span("replace_after", x.fleet.replace_after);
   fleet.nothing_else();
 
   Table traffic = top.table("traffic");
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -34,6 +34,9 @@
   Time start_at_most = 20'000'000;  // until it is ready; longer is a failed start
   bool notes = false;               // relays may send each other datagrams
   std::string settings;             // the operator's file, as text; empty: none
+  int copies = -1;                  // holders of each relay's log; -1: no copies at all
+  std::string acks = "majority";    // or "all"
+  Time takeover_after = 1'500'000, replace_after = 3'000'000;
 };
 
 struct TrafficOptions {
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -55,7 +55,8 @@
       disturbed_(plan_.relays.size(), 0),
       next_new_endpoint_(plan_.endpoints_at_start),
       ticker_(io) {
-  need_descriptors(plan_.relays.size() * (plan_.endpoints.size() + 4) + plan_.endpoints.size() +
+  const std::size_t others = experiment_.fleet.copies >= 0 ? plan_.relays.size() : 0;
+  need_descriptors(plan_.relays.size() * (plan_.endpoints.size() + 4 + others) + plan_.endpoints.size() +
                    kSpareDescriptors);
   std::filesystem::create_directories(options_.folder);
   for (std::size_t i = 0; i < experiment_.traffic.classes.size(); i++)
@@ -154,6 +155,9 @@
         add(addresses_->platform_seen_by(r), addresses_->platform(), addresses_->source(r), Door::open);
     links_[r].clients =
         add(addresses_->relay_seen_by_clients(r), addresses_->relay(r), addresses_->clients(), Door::closed);
+    for (Index other = 0; experiment_.fleet.copies >= 0 && other < plan_.relays.size(); other++)
+      links_[r].copies.push_back(add(addresses_->copies_seen_by(r, other), addresses_->copies(other),
+                                     addresses_->source(r), Door::open));
   }
   for (Index e = plan_.endpoints_at_start; e < plan_.endpoints.size(); e++) {
     endpoint_down_[e] = true;
@@ -187,7 +191,7 @@
     o.name = plan_.relays[r].name;
     o.folder = options_.folder + "/" + o.name;
     o.program = options_.program;
-    o.settings = experiment_.fleet.settings;
+    o.settings = operator_settings(r);
     o.environment = options_.environment;
     o.health = addresses_->relay(r);
     o.start_at_most = experiment_.fleet.start_at_most;
@@ -244,6 +248,28 @@
   }
 }
 
+// As written in the experiment, and whom copies of logs may go to.
+std::string World::operator_settings(Index relay) const {
+  const auto& fleet = experiment_.fleet;
+  if (fleet.copies < 0) return fleet.settings;
+  const auto text = [](const auto& e) {
+    return "\"" + e.address().to_string() + ":" + std::to_string(e.port()) + "\"\n";
+  };
+  const auto seconds = [](Time t) { return std::to_string(static_cast<double>(t) / 1e6) + "\n"; };
+  std::string all = fleet.settings +
+                    "\n[copies]\ncluster = \"lab\"\nholders = " + std::to_string(fleet.copies) +
+                    "\nacks = \"" + fleet.acks + "\"\nlisten = " + text(addresses_->copies(relay)) +
+                    "takeover_after_s = " + seconds(fleet.takeover_after) +
+                    "replace_after_s = " + seconds(fleet.replace_after);
+  for (Index i = 0; i < plan_.relays.size(); i++) {
+    const auto& r = plan_.relays[i];
+    all += "[[copies.member]]\nname = \"" + r.name +
+           "\"\naddress = " + text(addresses_->copies_seen_by(relay, i)) + "machine = \"" + r.name +
+           "\"\nzone = \"" + fleet.zones[static_cast<std::size_t>(r.zone)] + "\"\n";
+  }
+  return all;
+}
+
 std::string World::settings(Index relay) const {
   const auto& x = experiment_;
   rapidjson::StringBuffer out;
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -78,6 +78,7 @@
   void build_clients();
   std::string config(Index relay, unsigned life) const;
   std::string settings(Index relay) const;
+  std::string operator_settings(Index relay) const;
   void configure(Index relay, const std::string& field, double value);  // from its next start on
   // ---- What happens. ----
   Time now() const;
@@ -133,6 +134,7 @@
   // Links by relay: to each endpoint, to the platform, from clients.
   struct RelayLinks {
     std::vector<LinkId> endpoints;
+    std::vector<LinkId> copies;  // to the others' copies listeners, by relay; empty without copies
     LinkId platform = 0, clients = 0;
   };
   std::vector<RelayLinks> links_;
--- a/lab/world_faults.cpp
+++ b/lab/world_faults.cpp
@@ -335,6 +335,8 @@
     what(links_[r].endpoints[e], relay, {Party::Kind::endpoint, e, plan_.endpoints[e].destination});
   what(links_[r].platform, relay, {Party::Kind::platform});
   what(links_[r].clients, {Party::Kind::clients}, relay);
+  for (Index other = 0; other < links_[r].copies.size(); other++)
+    what(links_[r].copies[other], relay, {Party::Kind::relay, other, 0});
 }
 
 void World::refresh(LinkId link, Party from, Party to) {
