heronvanectl takeover: a holder takes over what a relay owes, without waiting

An operator who knows that a machine is gone, or wants a hung relay fenced, had to know which relay holds its log and ask its admin socket. The tool asks the agent, the agent its instances one after the other; the first that holds the log claims it, else each one's reason is told. It asks first on a terminal.

--- a/cli/changing.cpp
+++ b/cli/changing.cpp
@@ -166,6 +166,33 @@
       "name the generation to go back to: " + port.command + " rollback GENERATION", "", false};
 }
 
+bool Run::agreed(const std::string& question) {
+  put(2, question);
+  std::string answer;
+  for (char ch = 0; ::read(0, &ch, 1) == 1 && ch != '\n';) answer += ch;
+  if (answer == "y" || answer == "Y" || answer == "yes") return true;
+  put(2, "Nothing was changed.\n");
+  return false;
+}
+
+int Run::operator()(const TakeOver& c) {
+  if (!c.yes && is_terminal(0) &&
+      !agreed("What " + c.relay +
+              " holds becomes another relay's; if it still runs, it is fenced and drops it. "
+              "Go on? [y/N] "))
+    return kRefused;
+  const auto results = session_.ask<Both<std::string>>([&](Port& p) {
+    p.get("/v1/agent");  // its version
+    auto json = p.change("POST", "/v1/takeover/" + c.relay, "{}");
+    return Both<std::string>{p.as(json, read_taker), json};
+  });
+  return finish(results, [&](const auto& all) {
+    const auto& by = all.front().value;
+    return by + " takes over what " + c.relay + " owes; see how it goes: " + all.front().command + " show " +
+           by + "\n";
+  });
+}
+
 int Run::planned(Draft draft, bool yes, const char* question) {
   const bool dry = draft.dry_run;
   std::vector<std::int64_t> generations(session_.ports().size(), 0);
@@ -198,15 +225,7 @@
   const auto nothing = [](const Operation& o) { return o.diff.empty() && o.steps.empty(); };
   const bool work = std::any_of(all.begin(), all.end(), [&](const auto& t) { return !nothing(t.value); });
   if (!work) return json() ? finish(plans, diffs) : finish(plans, [](const auto&) { return std::string(); });
-  if (ask) {
-    put(2, question);
-    std::string answer;
-    for (char ch = 0; ::read(0, &ch, 1) == 1 && ch != '\n';) answer += ch;
-    if (answer != "y" && answer != "Y" && answer != "yes") {
-      put(2, "Nothing was changed.\n");
-      return kRefused;
-    }
-  }
+  if (ask && !agreed(question)) return kRefused;
   for (auto& d : drafts) d.dry_run = false;
   auto started = session_.ask<Both<Operation>>([&](Port& p) {
     const auto i = index(p);
--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -35,6 +35,7 @@
                 "--all --no-wait --supersede --max-unavailable"},
     CommandInfo{"restart", "End and start again, few at a time", CommandInfo::Takes::instances,
                 "--all --rolling --no-wait --supersede --max-unavailable"},
+    CommandInfo{"takeover", "Have a holder take over what a relay owes", CommandInfo::Takes::other, "--yes"},
     CommandInfo{"apply", "Make the fleet what a fleet file says", CommandInfo::Takes::file,
                 "--dry-run --yes --no-wait --supersede --max-unavailable"},
     CommandInfo{"rollback", "Go back to an earlier generation", CommandInfo::Takes::other,
@@ -63,6 +64,11 @@
   std::vector<std::string> names;
   ChangeOptions options;
 };
+// Of a relay that may be on a machine that is gone.
+struct TakeOver {
+  std::string relay;
+  bool yes = false;
+};
 struct Apply {
   std::string file;
   bool dry_run = false, yes = false;
@@ -109,8 +115,8 @@
 };
 struct Version {};
 
-using Command = std::variant<Change, Apply, Rollback, List, Status, Show, Message, History, Logs, Cancel,
-                             ShowOperation, Completion, Demo, Version>;
+using Command = std::variant<Change, TakeOver, Apply, Rollback, List, Status, Show, Message, History, Logs,
+                             Cancel, ShowOperation, Completion, Demo, Version>;
 
 enum class Output { table, json };
 
--- a/cli/model.cpp
+++ b/cli/model.cpp
@@ -227,6 +227,13 @@
   return all;
 }
 
+std::string read_taker(const std::string& json) {
+  const auto d = parse(json);
+  std::string by;
+  Fields(d, "")("by", by);
+  return by;
+}
+
 MessageAnswer read_message(const std::string& json) {
   const auto d = parse(json);
   const Fields f(d, "");
--- a/cli/model.hpp
+++ b/cli/model.hpp
@@ -98,6 +98,9 @@
   std::vector<std::string> not_asked;
 };
 
+// Who takes over, of an answer to a take-over.
+std::string read_taker(const std::string& json);
+
 // The error object of an answer; `with` of a conflict.
 struct AgentError {
   std::string code, message, hint;
--- a/cli/options.cpp
+++ b/cli/options.cpp
@@ -114,6 +114,14 @@
         c->add_flag("--rolling", rolling_, "Few at a time, which is how restarts always go");
       change_options(c);
     }
+    auto* t = command("takeover", [this] {
+      one_agent("takeover", "one holder does it");
+      invocation_.command = TakeOver{text_, yes_};
+    });
+    t->add_option("RELAY", text_, "Whose messages; of any machine")
+        ->required()
+        ->check(CLI::Validator(name_fault, "", ""));
+    t->add_flag("-y,--yes", yes_, "Do not ask");
     auto* a = command("apply", [this] { invocation_.command = Apply{text_, dry_run_, yes_, change()}; });
     a->add_option("FILE", text_, "The fleet file (TOML)")->required();
     auto* r = command("rollback", [this] {
--- a/cli/run.hpp
+++ b/cli/run.hpp
@@ -21,6 +21,7 @@
 
   void prepare();
   int operator()(const Change& c);
+  int operator()(const TakeOver& c);
   int operator()(const Apply& c);
   int operator()(const Rollback& c);
   int operator()(const List& c);
@@ -77,6 +78,7 @@
   // The generation before the last apply or rollback.
   static std::uint64_t before_the_last(Port& port);
   int planned(Draft draft, bool yes, const char* question);
+  bool agreed(const std::string& question);  // asked on the terminal
 
   const Global& global_;
   Stop stop_;
--- a/fleet/agent.hpp
+++ b/fleet/agent.hpp
@@ -75,6 +75,7 @@
   void command(event::Command command, std::function<void(Verdict)> done) override;
   void cancel(OperationId operation, std::function<void(Verdict)> done) override;
   void find_message(const std::string& id, std::function<void(MessageView)> done) override;
+  void take_over(const std::string& relay, std::function<void(TakeOverView)> done) override;
   std::shared_ptr<ApiStream> follow_operation(OperationId operation) override;
   std::shared_ptr<ApiStream> read_log(const std::string& name, std::size_t lines, bool follow) override;
 
--- a/fleet/agent_api.cpp
+++ b/fleet/agent_api.cpp
@@ -1,6 +1,8 @@
 // What the API asks of the agent.
 #include <unistd.h>
 
+#include <algorithm>
+
 #include "agent_instance.hpp"
 #include "json.hpp"
 
@@ -101,6 +103,49 @@
   search->ended();
 }
 
+// One after the other: the first that holds its log does it.
+void Agent::take_over(const std::string& relay, std::function<void(TakeOverView)> done) {
+  struct Search {
+    std::vector<std::pair<std::string, std::string>> left;  // instance, state folder
+    TakeOverView view;
+    std::function<void(TakeOverView)> done;
+    std::function<void()> next;
+  };
+  const auto search = std::make_shared<Search>();
+  search->done = std::move(done);
+  for (const auto& v : decider_.instances()) {
+    const auto it = instances_.find(v.row->name);
+    if (v.row->name == relay || it == instances_.end() || !it->second->process) continue;
+    search->left.emplace_back(v.row->name, it->second->folder.state());
+  }
+  std::reverse(search->left.begin(), search->left.end());
+  search->next = [this, relay, weak = std::weak_ptr(search)] {
+    const auto s = weak.lock();
+    if (s->left.empty()) return s->done(std::move(s->view));
+    const auto [name, folder] = s->left.back();
+    s->left.pop_back();
+    ask_admin(io_, {folder, true, "/v1/takeover/" + relay, "{}"},
+              [s, name = name, alive = std::weak_ptr<bool>(alive_)](const AdminAnswer& a) {
+                if (alive.expired()) return;
+                if (a.status == 200) {
+                  s->view.by = name;
+                  return s->done(std::move(s->view));
+                }
+                std::string why = a.status == 0 ? a.why : "status " + std::to_string(a.status);
+                try {
+                  const auto v = parse_json(a.body);
+                  if (v.IsObject() && v.HasMember("error") && v["error"].IsObject() &&
+                      v["error"].HasMember("message") && v["error"]["message"].IsString())
+                    why = v["error"]["message"].GetString();
+                } catch (const JsonError&) {
+                }
+                s->view.refused.emplace_back(name, why);
+                s->next();
+              });
+  };
+  search->next();
+}
+
 std::shared_ptr<ApiStream> Agent::follow_operation(OperationId operation) {
   const auto stream = std::make_shared<LineStream>();
   const Operation* const o = decider_.operation(operation);
--- a/fleet/api.cpp
+++ b/fleet/api.cpp
@@ -260,6 +260,19 @@
     const bool operations = t.is({"v1", "operations"}), operation = t.is({"v1", "operations", nullptr});
     if (request.method == "GET") return get(t, done);
     if (request.method == "POST" && operations) return operate(request, done);
+    if (request.method == "POST" && t.is({"v1", "takeover", nullptr}))
+      return agent_.take_over(t.path[2], [done, relay = t.path[2]](const TakeOverView& v) {
+        if (!v.by.empty())
+          return done(json(
+              object([&](JsonWriter& w) { key(w, "relay"), put(w, relay), key(w, "by"), put(w, v.by); })));
+        std::string why;
+        for (const auto& [instance, told] : v.refused)
+          why.append(why.empty() ? "" : "; ").append(instance).append(": ").append(told);
+        done(api_error(
+            409, "refused",
+            "no instance here takes " + printable(relay) + " over" + (why.empty() ? "" : ": " + why),
+            "ask the agent of a machine whose relay holds its log: heronvanectl show names holders"));
+      });
     if (request.method == "DELETE" && operation)
       return agent_.cancel(number(t.path[2], "operation", INT64_MAX),
                            [done](const Verdict& v) { done(answer(v, 200)); });
--- a/fleet/api.hpp
+++ b/fleet/api.hpp
@@ -65,6 +65,11 @@
   std::vector<std::string> not_asked;
 };
 
+struct TakeOverView {
+  std::string by;                                            // the instance that takes over; empty: none does
+  std::vector<std::pair<std::string, std::string>> refused;  // instance, why not
+};
+
 // What the API asks of the agent. Callbacks are called once, then or later.
 class ApiBackend {
  public:
@@ -80,6 +85,8 @@
   virtual void command(event::Command command, std::function<void(Verdict)> done) = 0;
   virtual void cancel(OperationId operation, std::function<void(Verdict)> done) = 0;
   virtual void find_message(const std::string& id, std::function<void(MessageView)> done) = 0;
+  // Has one of the instances take over what that relay, which may be anywhere, owes (docs/operate/copies.md).
+  virtual void take_over(const std::string& relay, std::function<void(TakeOverView)> done) = 0;
   // A line of JSON for each change from now on, until it ends; the operation is there.
   virtual std::shared_ptr<ApiStream> follow_operation(OperationId operation) = 0;
   // The last `lines` of the log; where followed, also what comes to it.
--- a/tests/cli/command_test.cpp
+++ b/tests/cli/command_test.cpp
@@ -180,6 +180,14 @@
   }
 }
 
+TEST_F(Commands, ATakeOverTellsWhoDoesIt) {
+  script_fleet(agent);
+  agent.on("POST /v1/takeover/n9", R"({"relay":"n9","by":"n1"})");
+  const auto r = run_tool({"--agent", socket, "takeover", "n9", "--yes"});
+  EXPECT_EQ(r.exit, 0) << r.err;
+  EXPECT_TRUE(has(r.out, "n1 takes over what n9 owes")) << r.out;
+}
+
 TEST_F(Commands, FindsItsAgentInTheEnvironment) {
   script_fleet(agent);
   EXPECT_EQ(run_tool({"list"}, {"HERONVANE_AGENT=" + socket}).exit, 0);
--- a/tests/fleet/api_test.cpp
+++ b/tests/fleet/api_test.cpp
@@ -109,6 +109,14 @@
   EXPECT_EQ(code(r), "storage");
 }
 
+TEST_F(ApiTest, AHolderTakesOverOrEachSaysWhyNot) {
+  EXPECT_EQ(json(ask("POST", "/v1/takeover/n9"))["by"].GetString(), std::string("n1"));
+  const auto refused = ask("POST", "/v1/takeover/n8");
+  EXPECT_EQ(refused.status, 409u);
+  EXPECT_NE(std::string(json(refused)["error"]["message"].GetString()).find("n1: holds no copy"),
+            std::string::npos);
+}
+
 TEST_F(ApiTest, MessagesAreToldAsRelaysTellThem) {
   const auto v = json(ask("GET", "/v1/messages/m%201"));
   EXPECT_STREQ(v["found"][0]["instance"].GetString(), "n0");
--- a/tests/fleet/fake_backend.hpp
+++ b/tests/fleet/fake_backend.hpp
@@ -41,6 +41,9 @@
     requests_[++last_] = std::move(done);
     feed(event::Cancel{last_, operation});
   }
+  void take_over(const std::string& relay, std::function<void(TakeOverView)> done) override {
+    done(relay == "n9" ? TakeOverView{"n1", {}} : TakeOverView{"", {{"n1", "holds no copy"}}});
+  }
   void find_message(const std::string& id, std::function<void(MessageView)> done) override {
     done({{{"n0", R"({"id":")" + id + R"(","state":"held"})"}}, {"n1"}});
   }
