Copies: outcomes go with what is waited for; holders keep their place in a small record

Each outcome was sent at once though nobody waits for it, each entry carried the group's config and made the holder write all of its state as JSON. Outcomes now wait up to 3 ms for company, the config goes to whom lacks it, the holder's place is a record of 40 bytes.

--- a/relay/copies/copies.cpp
+++ b/relay/copies/copies.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-constexpr auto kTick = std::chrono::milliseconds(25);
+constexpr auto kTick = std::chrono::milliseconds(25), kLazy = std::chrono::milliseconds(3);
+constexpr Time kConnectEach = 200'000;
 constexpr Time kAskEach = 500'000;         // that the owner lives; less where a take-over comes sooner
 constexpr Time kChooseAtMost = 3'000'000;  // then others than the first choice
 constexpr Time kFullPause = 500'000;
@@ -78,7 +79,8 @@
            },
            [this] { hooks_.settle(); }, [this](MessageId from, MessageId to) { hooks_.taken_over(from, to); },
            options_.log, options_.settings.takeover_after}),
-      timer_(io) {
+      timer_(io),
+      lazy_(io) {
   const auto* const own = member(options_.name);
   if (own == nullptr && options_.settings.listen.empty())
     throw std::runtime_error("copies: no [[copies.member]] is named " + options_.name +
@@ -309,7 +311,13 @@
   if (waiting_.empty()) return;
   // What was written before the oldest that waits stands.
   if (waiting_.size() == 1) store_.stands_elsewhere(store_.written());
-  pump();
+  // Outcomes, for which nobody waits, go with what is waited for, or a little later together.
+  if (std::exchange(lazy_due_, true)) return;
+  lazy_.expires_after(kLazy);
+  lazy_.async_wait([this](boost::system::error_code bad) {
+    lazy_due_ = false;
+    if (!bad) pump();
+  });
 }
 
 Packet Copies::packet(Saying saying) const {
@@ -490,7 +498,10 @@
   timer_.async_wait([this](boost::system::error_code bad) {
     if (!bad) tick();
   });
-  connect();
+  if (steady() >= connect_at_ || phase_ != Phase::owning) {
+    connect_at_ = steady() + kConnectEach;
+    connect();
+  }
   switch (phase_) {
     case Phase::choosing:
       choose();
--- a/relay/copies/copies.hpp
+++ b/relay/copies/copies.hpp
@@ -64,6 +64,7 @@
   void start() override;
   bool ready() const override { return ready_; }
   bool is_short() const override { return short_; }
+  void hurry() override { pump(); }
   bool parked(MessageId number) const override { return takeover_.parked(number); }
   std::string take_over(const std::string& name) override { return takeover_.begin_by_hand(name); }
   std::string status_json() const override;
@@ -134,7 +135,9 @@
   Shelves shelves_;
   std::unique_ptr<Streams> streams_;
   Takeover takeover_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_, lazy_;
+  bool lazy_due_ = false;
+  Time connect_at_ = 0;
 
   Phase phase_ = Phase::choosing;
   Time phase_since_ = 0;
--- a/relay/copies/log.hpp
+++ b/relay/copies/log.hpp
@@ -78,7 +78,7 @@
   Position after = 0;
   Epoch after_epoch;
   std::vector<Entry> entries;
-  Config config;
+  Config config;  // none (version 0) where the holder has told that it keeps it
 };
 struct Appended {
   Epoch epoch;
--- a/relay/copies/owner.cpp
+++ b/relay/copies/owner.cpp
@@ -71,7 +71,7 @@
   const Position until = std::min<Position>(last(), p.from + options_.most_entries);
   a.entries.assign(entries_.begin() + static_cast<std::ptrdiff_t>(p.from - base_),
                    entries_.begin() + static_cast<std::ptrdiff_t>(until - base_));
-  a.config = config_;
+  if (p.config < config_.version) a.config = config_;
   p.out = true;
   return Letter{holder, std::move(a)};
 }
--- a/relay/copies/shelf.cpp
+++ b/relay/copies/shelf.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <filesystem>
+#include <sstream>
 #include <utility>
 
 namespace heronvane::copies {
@@ -11,7 +12,8 @@
 
 namespace {
 
-const std::string kStateKey = "shelf";  // beside the owner's facts, none of which is called so
+// Beside the owner's facts, none of which is called so: all of a holder's state; where it is since.
+const std::string kStateKey = "shelf", kAtKey = "shelf.at";
 constexpr std::size_t kMostRows = 1 << 20;
 constexpr std::uint64_t kLeastDisk = 1'000'000;
 constexpr int kTidySteps = 8;
@@ -105,7 +107,13 @@
         fs::remove_all(it->second);
         continue;
       }
-      shelf->holder = Holder({state->promised, state->last, state->last_epoch, state->config, state->moved});
+      HolderState s{state->promised, state->last, state->last_epoch, state->config, state->moved};
+      if (const auto later = copy->store->facts().find(kAtKey); later != copy->store->facts().end()) {
+        std::istringstream in(later->second);
+        in >> s.last >> s.last_epoch.number >> s.last_epoch.claimant.incarnation >>
+            s.last_epoch.claimant.name;
+      }
+      shelf->holder = Holder(s);
       shelf->ahead = state->ahead, shelf->disk = state->disk;
       shelf->copy = std::move(copy);
     }
@@ -124,7 +132,7 @@
   store::Options o;
   o.limit_bytes = std::max(shelf.disk, kLeastDisk);
   o.durability = options_.durability;
-  o.vital_facts = {kStateKey};
+  o.vital_facts = {kStateKey, kAtKey};
   o.log = options_.log;
   if (o.durability == store::Durability::machine)
     copy->sync = std::make_unique<store::SyncThread>(*copy->disk, options_.post);
@@ -208,6 +216,7 @@
 
 // State and records in one batch. False: they can't be written now, and are kept for the next time.
 bool Shelves::keep_state(Shelf& shelf, Copy& copy, const HolderState& s) {
+  copy.store->put(store::record::Fact{kAtKey, {}});
   copy.store->put(store::record::Fact{
       kStateKey, write_state(s.promised, s.last, s.last_epoch, s.config, s.moved, shelf.ahead, shelf.disk)});
   return copy.store->commit();
@@ -226,8 +235,17 @@
     shelf.holder = Holder(before);
     return reply(full(packet, "entries that can't be read"));
   }
-  if (shelf.holder.state() != before || !store.trouble().empty()) {
-    if (!keep_state(shelf, *shelf.copy, shelf.holder.state())) return reply(full(packet, store.trouble()));
+  const HolderState& now = shelf.holder.state();
+  const bool more = now.promised != before.promised || now.config.version != before.config.version ||
+                    now.moved != before.moved;
+  if (more || !store.trouble().empty()) {
+    if (!keep_state(shelf, *shelf.copy, now)) return reply(full(packet, store.trouble()));
+  } else if (now != before) {
+    store.put(store::record::Fact{kAtKey, std::to_string(now.last) + " " +
+                                              std::to_string(now.last_epoch.number) + " " +
+                                              std::to_string(now.last_epoch.claimant.incarnation) + " " +
+                                              now.last_epoch.claimant.name});
+    if (!store.commit()) return reply(full(packet, store.trouble()));
   }
   when_durable(shelf, [reply, answer = word_to(packet, std::move(*heard.answer))] { reply(answer); });
 }
--- a/relay/core/log_copies.hpp
+++ b/relay/core/log_copies.hpp
@@ -16,6 +16,8 @@
   virtual bool ready() const = 0;
   // Too few holders have what was written a while ago: nothing more is to be taken on.
   virtual bool is_short() const = 0;
+  // Something waits for what was written: it goes at once, not within a few milliseconds.
+  virtual void hurry() = 0;
   // Of a log whose take-over is not decided: not to be touched.
   virtual bool parked(MessageId number) const = 0;
   // Takes that relay's log over, without waiting. Empty, or why not.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -549,6 +549,7 @@
     }
     schedule();  // what came meanwhile is decided on now
   }
+  if (copies_ && !outbox_.empty()) copies_->hurry();
   carry_out();
   // Their records may stand after all, so nothing is promised.
   if (store_.sync_hangs()) turn_away(outbox_.take_answers(), 504);
