Copies: members by SIGHUP, replaced holders let go, status of a fleet says what is under-copied

heronvanectl status showed nothing of copies: the agent now tells of each relay how many holders have all that it holds, and the tool sums up and names what is UNDER-COPIED. A relay that waits for its holders says for whom, each 5 s: health was 503 and the log silent.

A holder that was away while it was replaced kept its copy and its place under the limit, and asked for ever whether the owner was gone: the others tell it of the later group, and it keeps its promises alone. Members are read anew on SIGHUP; addresses that can't be read are refused at the start, not when first dialled.

--- a/cli/model.cpp
+++ b/cli/model.cpp
@@ -162,6 +162,10 @@
   f("wanted_generation", i.wanted_generation), f("restarts", i.restarts), f("next_start_ms", i.next_start_ms);
   f("ready", i.ready), f("held", i.held), f("oldest_ms", i.oldest_ms), f("operation", i.operation);
   f("status_age_ms", i.status_age_ms);
+  f.object("copies", [&](const Fields& c) {
+    auto& k = i.copies.emplace();
+    c("phase", k.phase), c("have", k.have), c("wanted", k.wanted), c("lag", k.lag), c("epoch", k.epoch);
+  });
   f.object("status", [&](const Fields& s) { i.status = relay_status(s); });
   return i;
 }
--- a/cli/model.hpp
+++ b/cli/model.hpp
@@ -64,6 +64,12 @@
   std::int64_t pid = 0, since_ms = 0, generation = 0, wanted_generation = 0, restarts = 0, next_start_ms = 0;
   bool ready = false;
   std::int64_t held = 0, oldest_ms = 0, operation = 0;
+  struct Copies {  // of its log, at others
+    std::string phase;
+    std::int64_t have = 0, wanted = 0, lag = 0, epoch = 0;
+    bool whole() const { return phase == "owning" && have >= wanted; }
+  };
+  std::optional<Copies> copies;       // where it keeps any
   std::optional<RelayStatus> status;  // only where one instance was asked for
   std::int64_t status_age_ms = 0;
 };
--- a/cli/render.cpp
+++ b/cli/render.cpp
@@ -81,6 +81,11 @@
                      command + " restart " + i.name + "; or take the change back: " + command + " rollback"};
   if (i.status && !i.status->trouble.empty())
     return Attention{i.status->trouble, command + " show " + i.name};
+  if (i.phase == "ready" && i.copies && !i.copies->whole())
+    return Attention{"UNDER-COPIED: " + std::to_string(i.copies->have) + " of " +
+                         std::to_string(i.copies->wanted) + " holders have all that it holds, the last " +
+                         count(i.copies->lag, "entry", "entries") + " behind",
+                     command + " show " + i.name};
   if (i.phase == "draining" && i.held > 0 && i.oldest_ms > 60'000)
     return Attention{"drains, and still holds " + count(i.held, "message", "messages") + ", the oldest for " +
                          duration(i.oldest_ms),
@@ -133,6 +138,11 @@
                          (oldest_in == nullptr
                               ? ""
                               : ", the oldest for " + duration(oldest) + " in " + oldest_in->name));
+  std::int64_t copying = 0, whole = 0;
+  for (const auto& i : v.instances)
+    if (i.copies) copying++, whole += i.copies->whole();
+  if (copying > 0)
+    line("Copies: " + std::to_string(whole) + " of " + count(copying, "log", "logs") + " whole");
   if (a.platform)
     line("Platform at " + a.platform->listen + ": " + count(a.platform->endpoints, "endpoint", "endpoints") +
          ", " + count(a.platform->watchers, "watcher", "watchers") + ", " +
--- a/fleet/agent.cpp
+++ b/fleet/agent.cpp
@@ -62,6 +62,27 @@
   return (static_cast<std::uint64_t>(random()) << 32) | random();
 }
 
+// What a list of many relays shows of their copies.
+std::string copies_in_short(const rapidjson::Value& status) {
+  const auto* const copies = wire::find(status, "copies");
+  if (copies == nullptr || !copies->IsObject()) return {};
+  const std::string path = "status.copies";
+  std::int64_t lag = 0;
+  if (const auto* const holders = wire::find(*copies, "holders"); holders != nullptr && holders->IsArray())
+    for (const auto& h : holders->GetArray())
+      lag = std::max(lag, wire::get(h, "lag", path, wire::as_integer, 0));
+  rapidjson::StringBuffer b;
+  JsonWriter w(b);
+  w.StartObject();
+  key(w, "phase"), put(w, printable(wire::get(*copies, "phase", path, wire::as_text, "")));
+  key(w, "have"), w.Int64(wire::get(*copies, "copies", path, wire::as_integer, 0));
+  key(w, "wanted"), w.Int64(wire::get(*copies, "wanted", path, wire::as_integer, 0));
+  key(w, "lag"), w.Int64(lag);
+  key(w, "epoch"), w.Int64(wire::get(*copies, "epoch", path, wire::as_integer, 0));
+  w.EndObject();
+  return text_of(b);
+}
+
 }  // namespace
 
 DataFolder::DataFolder(const std::string& path) {
@@ -487,6 +508,7 @@
       seen = e.run == i.run;
       if (seen) {
         i.status = a.body.size() <= kMostStatusKept ? a.body : "";
+        i.copies = copies_in_short(v);
         i.status_at = now();
       }
     }
--- a/fleet/agent_api.cpp
+++ b/fleet/agent_api.cpp
@@ -29,7 +29,7 @@
 std::optional<StatusView> Agent::status(const std::string& name) const {
   const auto it = instances_.find(name);
   if (it == instances_.end() || it->second->status.empty()) return {};
-  return StatusView{it->second->status, now() - it->second->status_at};
+  return StatusView{it->second->status, it->second->copies, now() - it->second->status_at};
 }
 
 std::string Agent::log_file(const std::string& name) const {
--- a/fleet/agent_instance.hpp
+++ b/fleet/agent_instance.hpp
@@ -23,6 +23,7 @@
   std::uint64_t life = 0;  // counts processes: answers to an earlier one's questions say nothing
   bool had_state = false;
   std::string status;  // as last told
+  std::string copies;  // of it, in short, as JSON; empty: none are kept
   Time status_at = 0;
 };
 
--- a/fleet/api.cpp
+++ b/fleet/api.cpp
@@ -197,6 +197,7 @@
     key(w, "oldest_ms"), w.Int64(v.oldest_ms);
     key(w, "operation"), w.Uint64(v.operation);
     key(w, "last_exit"), put(w, row.last_exit);
+    if (status && !status->copies.empty()) key(w, "copies"), raw(w, status->copies);
     if (!with_status) return;
     key(w, "status");
     if (status)
@@ -319,7 +320,7 @@
     return done(json(object([&](JsonWriter& w) {
       key(w, "generation"), w.Uint64(d.generation());
       key(w, "instances"), w.StartArray();
-      for (const auto& v : d.instances()) raw(w, instance_json(v, {}, false));
+      for (const auto& v : d.instances()) raw(w, instance_json(v, agent_.status(v.row->name), false));
       w.EndArray();
     })));
   if (t.is({"v1", "instances", nullptr}) || t.is({"v1", "instances", nullptr, "log"})) {
--- a/fleet/api.hpp
+++ b/fleet/api.hpp
@@ -57,7 +57,8 @@
   std::optional<PlatformView> platform;
 };
 struct StatusView {
-  std::string json;  // of the relay, whole
+  std::string json;    // of the relay, whole
+  std::string copies;  // of that, in short: {"phase","have","wanted","lag","epoch"}; empty: none are kept
   Time age = 0;
 };
 struct MessageView {
--- a/relay/copies/copies.cpp
+++ b/relay/copies/copies.cpp
@@ -85,6 +85,7 @@
   if (own == nullptr && options_.settings.listen.empty())
     throw std::runtime_error("copies: no [[copies.member]] is named " + options_.name +
                              ", and copies.listen is not given");
+  for (const auto& m : options_.settings.members) address(m.address, "copies.member " + m.name);
   own_place_.member.name = options_.name;
   if (own != nullptr) own_place_.machine = own->machine, own_place_.zone = own->zone;
   told_ = store_.outlasts();
@@ -149,6 +150,19 @@
   hooks_.settle();
 }
 
+void Copies::members(std::vector<Settings::Member> members) {
+  try {
+    for (const auto& m : members) address(m.address, "copies.member " + m.name);
+  } catch (const std::exception& e) {
+    return options_.log(std::string("copies: the old members stay: ") + e.what());
+  }
+  if (std::none_of(members.begin(), members.end(), [&](const auto& m) { return m.name == options_.name; }) &&
+      options_.settings.listen.empty())
+    return options_.log("copies: the old members stay: " + options_.name + " is not among the new ones");
+  options_.settings.members = std::move(members);
+  connect_at_ = 0;
+}
+
 Copies::~Copies() { store_.copy_to(nullptr); }
 
 Time Copies::steady() const {
@@ -213,6 +227,7 @@
 
 void Copies::start() {
   started_ = true;
+  awaited_at_ = steady();
   store_.copy_to(this);
   takeover_.load();
   phase_since_ = steady();
@@ -463,6 +478,10 @@
   if (p.kind == Packet::Kind::heard) {
     const auto shelf = shelves_.find(p.log);
     p.ago = shelf ? steady() - shelf->heard : -1;
+    if (shelf && shelf->state.config.version > p.version && shelf->state.config.next.empty()) {
+      const auto& holders = shelf->state.config.holders;
+      p.replaced = std::find(holders.begin(), holders.end(), from) == holders.end();
+    }
     p.mark = told_ = std::max(told_, store_.outlasts());
     return reply(p);
   }
@@ -529,11 +548,36 @@
       break;
     }
   }
+  if (phase_ != Phase::owning) say_who_is_awaited();
   look_short();
   if (ready_) takeover_.tick();
   shelves_.tidy();
 }
 
+// Health is 503 meanwhile; nobody is to guess why.
+void Copies::say_who_is_awaited() {
+  constexpr Time kLong = 5'000'000;
+  if (steady() - awaited_at_ < kLong) return;
+  awaited_at_ = steady();
+  const auto names =
+      phase_ == Phase::choosing
+          ? choose_holders(own_place_, places(), static_cast<std::size_t>(options_.settings.holders))
+          : config_.holders;
+  std::string text;
+  for (const auto& m : names) {
+    const Member* const peer = streams_->peer(m.name);
+    const bool another = peer != nullptr && phase_ == Phase::claiming && *peer != m;
+    text.append(text.empty() ? "" : ", ").append(m.name);
+    text.append(peer == nullptr ? " (no connection)"
+                : another       ? " (came back without its disk)"
+                                : " (there)");
+  }
+  options_.log(phase_ == Phase::choosing
+                   ? "copies: a new log waits for holders: " + text
+                   : "copies: the own log is not known to stand yet; its holders: " + text +
+                         ". Bring back who is missing; --force-own goes on without asking");
+}
+
 void Copies::look_short() {
   if (waiting_.empty() || steady() - waiting_.front().since < options_.settings.short_after) return;
   if (!std::exchange(short_, true)) {
--- a/relay/copies/copies.hpp
+++ b/relay/copies/copies.hpp
@@ -68,6 +68,7 @@
   bool parked(MessageId number) const override { return takeover_.parked(number); }
   std::string take_over(const std::string& name) override { return takeover_.begin_by_hand(name); }
   std::string status_json() const override;
+  void members(std::vector<Settings::Member> members) override;
 
   // store::LogSink
   void closing() override;
@@ -112,6 +113,7 @@
   void send_part(const Member& holder);
   void look();  // after the owner heard something, or wrote
   void look_short();
+  void say_who_is_awaited();
   void replace_lost();
   Packet packet(Saying saying) const;
   void answered(const Member& from, Packet packet);
@@ -127,7 +129,7 @@
 
   boost::asio::io_context& io_;
   store::Store& store_;
-  const Options options_;
+  Options options_;
   const Hooks hooks_;
   Place own_place_;
   Member self_;
@@ -137,7 +139,7 @@
   Takeover takeover_;
   boost::asio::steady_timer timer_, lazy_;
   bool lazy_due_ = false;
-  Time connect_at_ = 0;
+  Time connect_at_ = 0, awaited_at_ = 0;
 
   Phase phase_ = Phase::choosing;
   Time phase_since_ = 0;
--- a/relay/copies/copies_status.cpp
+++ b/relay/copies/copies_status.cpp
@@ -41,6 +41,7 @@
   }
   json.EndArray();
   number("copies", whole_copies);
+  number("wanted", static_cast<std::uint64_t>(options_.settings.holders));
   json.Key("under_copied"), json.Bool(whole_copies < static_cast<std::size_t>(options_.settings.holders));
   json.Key("changing"), json.Bool(owner_ && owner_->changing());
   json.Key("held_for_others"), json.StartArray();
--- a/relay/copies/packet.cpp
+++ b/relay/copies/packet.cpp
@@ -295,7 +295,9 @@
   const auto plain = [&](const char* key, std::uint64_t v) {
     if (v != 0) json.Key(key), json.Uint64(v);
   };
-  plain("part", p.part), plain("last", p.last), plain("numbered", p.numbered), plain("salt", p.salt);
+  if (p.kind == Packet::Kind::heard) json.Key("version"), put(json, p.version);
+  plain("replaced", p.replaced), plain("part", p.part), plain("last", p.last), plain("numbered", p.numbered),
+      plain("salt", p.salt);
   plain("disk", p.disk), plain("mark", p.mark);
   if (p.now != 0) json.Key("now"), json.Int64(p.now);
   if (p.ago >= 0) json.Key("ago"), json.Int64(p.ago);
@@ -331,6 +333,8 @@
       if (!v->IsInt64()) throw Unreadable("no time");
       return v->GetInt64();
     };
+    if (const Value* v = find(d, "version")) p.version = version(*v);
+    p.replaced = plain("replaced") != 0;
     p.part = plain("part"), p.last = plain("last") != 0, p.numbered = plain("numbered");
     p.salt = static_cast<store::Salt>(plain("salt"));
     p.disk = plain("disk"), p.mark = plain("mark");
--- a/relay/copies/packet.hpp
+++ b/relay/copies/packet.hpp
@@ -46,7 +46,8 @@
     word,        // `saying`, of the decisions
     part,        // of a snapshot, the `part`-th: body; with the last one `saying` is the Snapshot
     part_taken,  // the `part`-th
-    heard,       // how long since its owner was heard? Answer: `ago`
+    heard,       // how long since its owner was heard? `version`: of the config that the asker knows. Answer:
+                 // `ago`; `replaced`: a later config has the asker as a holder no more
     full,        // answer: the holder can't take this now; `text` says why
     release      // the log has moved for good: its messages need not be kept
   };
@@ -58,10 +59,12 @@
   bool last = false;           // of the parts
   std::uint64_t numbered = 0;  // messages and remembered ids in the state that is read
   Time now = 0;                // on the log's clock, its owner's lasting time; 0: not told
-  Time ago = -1;               // heard: so long; -1: the log is not kept here
-  store::Salt salt = 0;        // of the frames in entries and body
-  std::uint64_t disk = 0;      // bytes that the owner's own folder may take
-  store::Sequence mark = 0;    // answers: as in Hello
+  Version version;             // heard
+  bool replaced = false;
+  Time ago = -1;             // heard: so long; -1: the log is not kept here
+  store::Salt salt = 0;      // of the frames in entries and body
+  std::uint64_t disk = 0;    // bytes that the owner's own folder may take
+  store::Sequence mark = 0;  // answers: as in Hello
   std::string text, body;
 };
 
--- a/relay/copies/shelf.cpp
+++ b/relay/copies/shelf.cpp
@@ -115,6 +115,7 @@
       }
       shelf->holder = Holder(s);
       shelf->ahead = state->ahead, shelf->disk = state->disk;
+      shelf->left = s.last == 0;
       shelf->copy = std::move(copy);
     }
     if (shelf->copy) shelves_[log] = std::move(shelf);
@@ -161,7 +162,8 @@
   std::uint64_t used = 0;
   for (const auto& [log, s] : shelves_) {
     // Of one that has gone elsewhere only the promises are left.
-    const bool released = s->holder.state().moved && s->copy->store->held().empty();
+    const auto& state = s->holder.state();
+    const bool released = (state.moved || s->left) && s->copy->store->held().empty();
     used += released ? s->copy->store->bytes() : s->disk;
   }
   const std::uint64_t disk = std::max(packet.disk, kLeastDisk);
@@ -194,6 +196,7 @@
     if (packet.kind != Packet::Kind::release) reply(full(packet, why_not));
     return;
   }
+  if (writes) shelf->left = false;
   if (writes && packet.now != 0) {
     const Time ahead = packet.now - options_.now();
     constexpr Time kSame = 50'000;
@@ -339,12 +342,27 @@
 void Shelves::release(Shelf& shelf, const Packet& packet) {
   const auto& state = shelf.holder.state();
   if (!state.moved || state.moved->epoch > packet.epoch || shelf.copy->store->held().empty()) return;
+  put_alone(shelf, HolderState(state));
+}
+
+void Shelves::empty(const LogId& log) {
+  const auto it = shelves_.find(log);
+  if (it == shelves_.end()) return;
+  // As one that has the promise and none of the log: whoever writes to it again begins with a snapshot.
+  HolderState state = it->second->holder.state();
+  state.last = 0, state.last_epoch = {};
+  it->second->left = true;
+  put_alone(*it->second, state);
+}
+
+void Shelves::put_alone(Shelf& shelf, const HolderState& state) {
   try {
     shelf.staging = fresh(shelf);
   } catch (const std::exception&) {
     return;  // it only takes room
   }
   if (!keep_state(shelf, *shelf.staging, state)) return remove(std::exchange(shelf.staging, nullptr));
+  shelf.holder = Holder(state);
   swap_in(shelf);
 }
 
--- a/relay/copies/shelf.hpp
+++ b/relay/copies/shelf.hpp
@@ -46,6 +46,8 @@
 
   // A word, a part, a release: answered exactly once (a release never), when what it says stands on the disk.
   void hear(const Packet& packet, Reply reply);
+  // Others hold that log in this one's place: what it says goes, what was promised stays.
+  void empty(const LogId& log);
   // All of it goes, with what was promised: this relay is another member from now on.
   void forget_all();
   // The owner of that log was heard just now.
@@ -77,6 +79,7 @@
     std::uint64_t count = 0;  // of its folders, ever
     std::unique_ptr<Copy> copy, staging;
     std::uint64_t next_part = 0;
+    bool left = false;  // others hold that log: only promises are here
     Holder holder;
     Time heard = 0, ahead = 0;
     std::uint64_t disk = 0;
@@ -93,6 +96,7 @@
   void part(Shelf& shelf, const Packet& packet, const Reply& reply);
   void read(Shelf& shelf, const Packet& packet, const Reply& reply);
   void release(Shelf& shelf, const Packet& packet);
+  void put_alone(Shelf& shelf, const HolderState& state);
   bool keep_state(Shelf& shelf, Copy& copy, const HolderState& state);
   void swap_in(Shelf& shelf);
   void when_durable(Shelf& shelf, std::function<void()> then);
--- a/relay/copies/takeover.cpp
+++ b/relay/copies/takeover.cpp
@@ -15,6 +15,7 @@
 constexpr Time kClaimAtMost = 20'000'000;  // then anew, under a higher epoch
 constexpr Time kPause = 1'000'000;         // after one that was beaten
 constexpr Time kAskAgain = 250'000;        // other holders, when they heard an owner
+constexpr Time kAskSeldom = 2'000'000;     // where it has been silent here for long, and not to them
 
 std::string key_of(const LogId& log) { return kImportKey + log.name + "." + std::to_string(log.incarnation); }
 std::string name_of(const LogId& log) {
@@ -132,7 +133,8 @@
   std::map<LogId, Doubt> doubts;
   for (const auto& shelf : host_.shelves.all()) {
     const auto& config = shelf.state.config;
-    if (shelf.state.moved || shelf.log == host_.own_log()) continue;
+    // Of one that it holds no more only the promises are left.
+    if (shelf.state.moved || shelf.state.last == 0 || shelf.log == host_.own_log()) continue;
     auto holders = config.holders;
     holders.insert(holders.end(), config.next.begin(), config.next.end());
     const auto rank = std::find(holders.begin(), holders.end(), self) - holders.begin();
@@ -153,11 +155,11 @@
       by_hand_ = false;
       return begin(shelf.log, config, shelf.state.promised.number);
     }
-    if (now - doubt.asked_at < kAskAgain) continue;
+    if (now - doubt.asked_at < (now - shelf.heard > 4 * after ? kAskSeldom : kAskAgain)) continue;
     doubt.asked_at = now;
     doubt.ago.clear();  // what was said a while ago counts no more
     Packet ask;
-    ask.kind = Packet::Kind::heard, ask.log = shelf.log;
+    ask.kind = Packet::Kind::heard, ask.log = shelf.log, ask.version = config.version;
     for (const auto& m : holders)
       if (m != self) host_.say(m, ask);
   }
@@ -182,6 +184,12 @@
 }
 
 void Takeover::hear(const Member& from, const Packet& packet) {
+  if (packet.kind == Packet::Kind::heard && packet.replaced) {
+    host_.log("copies: others hold " + name_of(packet.log) + " in this relay's place: its copy goes");
+    host_.shelves.empty(packet.log);
+    doubts_.erase(packet.log);
+    return;
+  }
   if (packet.kind == Packet::Kind::heard) {
     if (const auto it = doubts_.find(packet.log); it != doubts_.end()) it->second.ago[from] = packet.ago;
     return;
--- a/relay/core/log_copies.hpp
+++ b/relay/core/log_copies.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
+#include "copies/settings.hpp"
 #include "core/message.hpp"
 
 namespace heronvane {
@@ -23,6 +25,8 @@
   // Takes that relay's log over, without waiting. Empty, or why not.
   virtual std::string take_over(const std::string& name) = 0;
   virtual std::string status_json() const = 0;
+  // Who may hold copies from now on, and where they are found.
+  virtual void members(std::vector<copies::Settings::Member> members) = 0;
 };
 
 }  // namespace heronvane
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -694,6 +694,7 @@
   log("configuration read again: discovery at " + text_of(config.discovery));
   platform_.move(config.discovery);
   generation_ = config.generation;
+  if (copies_ && config.own.copies.on) copies_->members(config.own.copies.members);
 }
 
 // ---- The end. ----
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -54,7 +54,7 @@
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
-  // Takes over what may change while the relay runs: where discovery is found.
+  // Takes over what may change while the relay runs: where discovery is found, who may hold copies.
   void reconfigure(const Config& config);
   // Answers clients on, lets calls out come home, then calls `done`, within kDrainMost.
   void stop(std::function<void()> done);
--- a/tests/copies/carried_test.cpp
+++ b/tests/copies/carried_test.cpp
@@ -421,6 +421,19 @@
   EXPECT_TRUE(std::holds_alternative<say::Refused>(*append(shelves, 1, "m2", first).saying));
 }
 
+TEST_F(Shelf, WhoHoldsALogNoMoreKeepsItsPromisesAlone) {
+  Shelves shelves(options());
+  append(shelves, 0, "m1", first);
+  shelves.empty(log);
+  const auto view = shelves.find(log);
+  EXPECT_EQ(view->messages, 0u);
+  EXPECT_EQ(view->state.last, 0u);
+  EXPECT_EQ(view->state.promised, first);
+  // Should it be a holder again, it lacks all: it never says that it has what it dropped.
+  const auto answer = append(shelves, 1, "m2", first);
+  EXPECT_EQ(std::get<say::Behind>(*answer.saying).last, 0u);
+}
+
 // ---- Connections. ----
 class Connections : public ::testing::Test {
  protected:
--- a/tests/fleet/fake_backend.hpp
+++ b/tests/fleet/fake_backend.hpp
@@ -22,7 +22,7 @@
   AgentView about() const override { return {"host", "0.0.0", 71, 5'000'000, {}}; }
   std::optional<StatusView> status(const std::string& name) const override {
     if (name != "n0") return {};
-    return StatusView{R"({"name":"n0"})", 7'000};
+    return StatusView{R"({"name":"n0"})", "", 7'000};
   }
   std::string log_file(const std::string&) const override { return "/dev/null"; }
   FleetSpec read_fleet(const std::string& json) const override { return Fleet::read(json).spec(); }
