Lab: what a lost relay took on is waited for and judged where it is copied

With copies nothing is crossed off, and an end is due so long after any loss near its time as a take-over takes (twice takeover_after and 1.5 s), for messages that may have changed hands; a machine that never comes back is no excuse any more.

--- a/lab/judge.hpp
+++ b/lab/judge.hpp
@@ -54,10 +54,13 @@
 struct JudgeOptions {
   Time drain_grace = 1'000'000, slack = 50'000, end_slack = 300'000;
   Time after_restart = 1'500'000;  // from ready on, nothing is overdue for so long
-  Time told_at_most = 6'000'000;   // a change of the list counts as told so much later
-  Time wait_slack = 100'000;       // calls so soon after a wait was written are let through
-  Time answer_read = 500'000;      // a relay has read an answer that was written so long ago
-  Time call_ended = 100'000;       // an endpoint has seen the end of a call that was given up so long ago
+  // Copies: what a machine that is lost owed is another's after so long; 0: there are none. Which one had a
+  // message that has changed hands can't be seen from outside, so any loss near its time counts.
+  Time taken_over_in = 0;
+  Time told_at_most = 6'000'000;  // a change of the list counts as told so much later
+  Time wait_slack = 100'000;      // calls so soon after a wait was written are let through
+  Time answer_read = 500'000;     // a relay has read an answer that was written so long ago
+  Time call_ended = 100'000;      // an endpoint has seen the end of a call that was given up so long ago
   int attempts_most = 8;
   std::size_t findings_most = 200;  // kept; all are counted
   Time lag_least = 20'000;          // the lab's lag from which on it excuses what hangs on times
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -19,6 +19,13 @@
 
 namespace {
 
+// A holder has to miss its owner, ask the others, wait its turn, and read.
+JudgeOptions judge_options(const Experiment& x) {
+  JudgeOptions o;
+  if (x.fleet.copies > 0) o.taken_over_in = 2 * x.fleet.takeover_after + 1'500'000;
+  return o;
+}
+
 #ifndef HERONVANE_EXPERIMENTS
 #define HERONVANE_EXPERIMENTS "lab/experiments"
 #endif
@@ -119,7 +126,7 @@
     r.program = program;
     r.experiment_path = x.path, r.experiment_text = x.text;
     r.seed = seed, r.plan = plan;
-    r.verdict = judge(run.history, plan, x.traffic.classes, run.end);
+    r.verdict = judge(run.history, plan, x.traffic.classes, run.end, judge_options(x));
     r.figures = figures(run, plan, x);
     r.fabric = run.fabric;
     r.relay_cpu_s = run.relay_cpu_s, r.relay_memory = run.relay_memory;
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -563,6 +563,8 @@
 bool World::owed() const { return !owed_.empty(); }
 
 void World::lost(Index relay, Time since) {
+  // Another one is to end it.
+  if (experiment_.fleet.copies > 0) return;
   std::erase_if(owed_,
                 [&](const auto& one) { return one.second.relay == relay && one.second.taken >= since; });
 }
