--- a/tests/store/tool_test.cpp
+++ b/tests/store/tool_test.cpp
@@ -1,15 +1,22 @@
 // heronvane-store as a program, on folders that the library wrote: what it says, its exit status, and that no
 // byte of the folder changes whatever is asked.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <rapidjson/document.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <boost/crc.hpp>
+#include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <sstream>
+#include <thread>
 
 #include "store/scan.hpp"
 #include "store/store.hpp"
@@ -435,5 +442,119 @@
   complains("not complete");
 }
 
+// While a store is written to and compacted: each snapshot holds what was held all the while, and nothing
+// that was over before it began; restored, each message of it may have run.
+TEST_F(Tool, SnapshotsOfAFolderThatIsWrittenTo) {
+  fs::create_directories(folder);
+  std::atomic<bool> stop{false}, fault{false};
+  std::atomic<std::uint64_t> commits{0};
+  std::mutex mutex;
+  std::set<std::string> held, over;
+  std::thread writer([&] {
+    const auto disk = open_folder(folder);
+    auto o = options();
+    o.limit_bytes = 400'000;  // small segments, much compaction
+    Store s(*disk, o);
+    std::deque<MessageId> mine;
+    for (int i = 0; !stop; i++) {
+      const auto m = message("m" + std::to_string(i), std::string(500, 'x'));
+      if (s.admit(m)) {
+        mine.push_back(s.next_number());
+        s.take(mine.back(), m);
+      }
+      std::string ended;
+      if (mine.size() > 40) {
+        // One in ten stays, so that compaction has what to move.
+        const auto at = mine.begin() + (i % 10 == 0 ? 5 : 0);
+        ended = s.find(*at)->message.id;
+        s.over(*at);
+        mine.erase(at);
+      }
+      // What a kill could leave: a message is held from its commit on, and may be over once that is asked
+      // for.
+      {
+        const std::lock_guard lock(mutex);
+        if (!ended.empty()) held.erase(ended);
+      }
+      if (!s.commit()) fault = true;
+      commits++;
+      while (s.wants_compaction() && s.compact() == Store::Step::more) {
+      }
+      const std::lock_guard lock(mutex);
+      if (!mine.empty() && s.find(mine.back())->message.id == m.id) held.insert(m.id);
+      if (!ended.empty()) over.insert(ended);
+    }
+  });
+  struct Ends {
+    std::atomic<bool>& stop;
+    std::thread& thread;
+    ~Ends() {
+      stop = true;
+      if (thread.joinable()) thread.join();
+    }
+  } ends{stop, writer};
+  const auto sets = [&] {
+    const std::lock_guard lock(mutex);
+    return std::pair(held, over);
+  };
+  for (int round = 0; round < 24; round++) {
+    const auto before = sets();
+    const std::string to = root / ("snapshot" + std::to_string(round));
+    // Stopped now and then until much has been written and compacted, wherever it stands.
+    const pid_t tool = ::fork();
+    if (tool == 0) {
+      ::dup2(::open("/dev/null", O_WRONLY), 1);
+      ::execl(HERONVANE_STORE_TOOL, HERONVANE_STORE_TOOL, "snapshot", folder.c_str(), to.c_str(), nullptr);
+      ::_exit(127);
+    }
+    int status = 0;
+    for (int stops = 0; ::waitpid(tool, &status, WNOHANG) == 0;) {
+      ::usleep(200);
+      if (stops++ > 60) continue;
+      ::kill(tool, SIGSTOP);
+      const auto until = commits + 300;
+      while (commits < until && !fault) ::usleep(100);
+      ::kill(tool, SIGCONT);
+    }
+    const auto after = sets();
+    EXPECT_EQ(status, 0);
+    if (status != 0) break;
+    const std::string again = root / ("restored" + std::to_string(round));
+    ASSERT_EQ(
+        std::system(("'" HERONVANE_STORE_TOOL "' restore '" + to + "' '" + again + "' >/dev/null").c_str()),
+        0);
+    const auto disk = open_folder(again);
+    Store s(*disk, options());
+    std::set<std::string> found;
+    for (const auto& [number, h] : s.held()) {
+      found.insert(h.message.id);
+      EXPECT_TRUE(h.doubt) << h.message.id;
+    }
+    EXPECT_TRUE(s.recovery().damaged.empty());
+    for (const auto& id : before.first)
+      if (after.first.count(id) > 0) {
+        EXPECT_EQ(found.count(id), 1u) << id << " is missing";
+      }
+    for (const auto& id : before.second) EXPECT_EQ(found.count(id), 0u) << id << " came back";
+  }
+  EXPECT_FALSE(fault);
+}
+
+TEST_F(Tool, ASnapshotIsNoFolderToStartOn) {
+  fill();
+  const std::string to = root / "snapshot";
+  EXPECT_EQ(run({"snapshot", folder, to}), 0) << err;
+  says("3 messages");
+  EXPECT_EQ(run({"verify", to}), 2);  // its segments stand in a folder of their own
+  EXPECT_EQ(run({"snapshot", folder, to}), 2);
+  complains("not empty");
+  EXPECT_EQ(run({"restore", folder, root / "x"}), 2);
+  complains("is no snapshot");
+  EXPECT_EQ(run({"restore", to, root / "x"}), 0) << err;
+  says("may have run or been ended since");
+  EXPECT_EQ(run({"show", "--body", root / "x", "first"}), 0) << err;
+  says("BODY-1");
+}
+
 }  // namespace
 }  // namespace heronvane::store::testing
--- a/tools/store/commands.hpp
+++ b/tools/store/commands.hpp
@@ -36,4 +36,10 @@
 // What is not in the copy, or not certain in it.
 void tell_losses(const Folder& folder, std::ostream& out);
 
+// The folder of a relay that may be running, as it is at one moment, into `to`, which must not exist, or be
+// empty: closed segments by hard links, what grows copied. The relay is not asked and does not wait.
+void snapshot(const std::string& from, const std::string& to, std::ostream& out);
+// A new folder from a snapshot, each message of which may have run since.
+void restore(const std::string& snapshot, const std::string& to, std::ostream& out);
+
 }  // namespace heronvane::store::tool
--- a/tools/store/main.cpp
+++ b/tools/store/main.cpp
@@ -20,10 +20,14 @@
     "  export FOLDER              the same as lines of JSON, with bodies in Base64\n"
     "  repair FOLDER COPY         writes all that can be read to COPY, a new or empty\n"
     "                             folder\n"
+    "  snapshot FOLDER COPY       the folder as it is at one moment, also while a relay\n"
+    "                             runs on it\n"
+    "  restore SNAPSHOT COPY      a folder from a snapshot, for a relay to start on:\n"
+    "                             each message may have run since\n"
     "  --help, --version\n"
     "\n"
-    "FOLDER (the relay's --state) is never changed. No relay may have it meanwhile:\n"
-    "end the relay, or look at a copy.\n"
+    "FOLDER (the relay's --state) is never changed. But for snapshot no relay may have\n"
+    "it meanwhile: end the relay, or look at a snapshot's folder segments.\n"
     "Exit status: 0 sound, 1 damaged, 2 wrong arguments or nothing done, 3 the folder\n"
     "is in use.\n";
 
@@ -74,7 +78,8 @@
   struct {
     const char* name;
     std::size_t least, most;
-  } const commands[] = {{"verify", 2, 2}, {"show", 2, 3}, {"export", 2, 2}, {"repair", 3, 3}};
+  } const commands[] = {{"verify", 2, 2}, {"show", 2, 3},     {"export", 2, 2},
+                        {"repair", 3, 3}, {"snapshot", 3, 3}, {"restore", 3, 3}};
   bool known = false;
   for (const auto& c : commands) {
     if (command != c.name) continue;
@@ -86,6 +91,10 @@
   if (!known) return usage("unknown command " + printable(command));
   if (a.body && (command != "show" || a.words.size() != 3)) return usage("--body belongs to show FOLDER ID");
 
+  if (command == "snapshot" || command == "restore") {
+    (command == "snapshot" ? snapshot : restore)(a.words[1], a.words[2], std::cout);
+    return kSound;
+  }
   const Folder folder = read(a.words[1]);
   if (command == "verify") {
     verify(folder, std::cout);
