--- a/tests/copies/carried_test.cpp
+++ b/tests/copies/carried_test.cpp
@@ -141,6 +141,17 @@
   EXPECT_LT(read, 20'000u);
 }
 
+TEST(Packet, TheCorpusOfTheFuzzTargetIsRead) {
+  std::size_t files = 0, packets = 0;
+  for (const auto& f : fs::directory_iterator(HERONVANE_CORPUS)) {
+    std::ifstream in(f.path(), std::ios::binary);
+    packets += check_packet({std::istreambuf_iterator<char>(in), {}});
+    files++;
+  }
+  EXPECT_EQ(files, 15u);
+  EXPECT_EQ(packets, 14u);  // and a hello
+}
+
 TEST(Packet, StatesAndImportsComeBack) {
   for (std::uint64_t seed = 1; seed <= 500; seed++) {
     Random r(seed);
