--- a/relay/copies/copies.cpp
+++ b/relay/copies/copies.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds(25), kLazy = std::chrono::milliseconds(3);
+constexpr std::size_t kMostEarly = 1 << 20;
 constexpr Time kConnectEach = 200'000;
 constexpr Time kAskEach = 500'000;         // that the owner lives; less where a take-over comes sooner
 constexpr Time kChooseAtMost = 3'000'000;  // then others than the first choice
@@ -308,6 +309,8 @@
   if (!owner_ || owner_->fenced()) {
     // Facts, and outcomes of calls that are still out: they go with the first entry of the next epoch.
     early_.append(frames);
+    // Asked for hours: then holders get a snapshot in its place.
+    if (early_.size() > kMostEarly) early_.clear(), early_lost_ = true;
     if (!ready_) return;
     // What was fenced acts on nothing that is written now.
     if (waiting_.empty()) store_.stands_elsewhere(store_.written());
--- a/relay/copies/copies.hpp
+++ b/relay/copies/copies.hpp
@@ -156,7 +156,8 @@
   std::uint64_t read_part_ = 0;
   Time read_at_ = 0;
   std::set<MessageId> read_;  // numbers in the state that is read
-  std::string early_;         // frames written while there is no owner
+  bool early_lost_ = false;
+  std::string early_;  // frames written while there is no owner
   struct Waiting {
     Position position;
     store::Sequence last;
--- a/relay/copies/copies_claims.cpp
+++ b/relay/copies/copies_claims.cpp
@@ -90,6 +90,8 @@
       config_ = claim_->config();
       const Epoch epoch = claim_->epoch();
       claim_.reset();
+      // As if it were an entry, which no holder has.
+      if (std::exchange(early_lost_, false)) last_++, last_epoch_ = epoch;
       owner_.emplace(self_, epoch, config_, last_, last_epoch_, OwnerOptions{acks(), 64});
       return own();
     }
@@ -115,7 +117,7 @@
   takeover_.forget();
   waiting_.clear();
   transfers_.clear();
-  early_.clear();
+  early_.clear(), early_lost_ = false;
   ready_ = short_ = false;
   for (const auto& key : {kLog, kConfig, kAt}) put(key, {});
   hooks_.disown();
