--- a/tools/store/main.cpp
+++ b/tools/store/main.cpp
@@ -20,14 +20,14 @@
     "  export FOLDER              the same as lines of JSON, with bodies in Base64\n"
     "  repair FOLDER COPY         writes all that can be read to COPY, a new or empty\n"
     "                             folder\n"
-    "  snapshot FOLDER COPY       the folder as it is at one moment, also while a relay\n"
-    "                             runs on it\n"
+    "  snapshot FOLDER COPY       the folder as it is at one moment, also while a\n"
+    "                             relay runs on it\n"
     "  restore SNAPSHOT COPY      a folder from a snapshot, for a relay to start on:\n"
     "                             each message may have run since\n"
     "  --help, --version\n"
     "\n"
-    "FOLDER (the relay's --state) is never changed. But for snapshot no relay may have\n"
-    "it meanwhile: end the relay, or look at a snapshot's folder segments.\n"
+    "FOLDER (the relay's --state) is never changed. But for snapshot no relay may\n"
+    "have it meanwhile: end the relay, or look at a snapshot's folder segments.\n"
     "Exit status: 0 sound, 1 damaged, 2 wrong arguments or nothing done, 3 the folder\n"
     "is in use.\n";
 
