Copies: members stand on loopback or private addresses only

Connections between members are neither encrypted nor signed, and the page said so; a public address in the settings was taken all the same. It is refused at the start, with the reason.

--- a/relay/copies/copies.cpp
+++ b/relay/copies/copies.cpp
@@ -43,6 +43,9 @@
   const auto ip = net::ip::make_address(text.substr(0, colon), bad);
   if (colon == std::string::npos || bad || port == 0 || port > 65535)
     throw std::runtime_error(where + ": \"" + text + "\" is no ip:port");
+  if (!is_private(ip))
+    throw std::runtime_error(where + ": " + text +
+                             " is neither a loopback nor a private address: copies go unencrypted");
   return {ip, static_cast<std::uint16_t>(port)};
 }
 
--- a/relay/copies/streams.cpp
+++ b/relay/copies/streams.cpp
@@ -113,6 +113,17 @@
 
 }  // namespace
 
+bool is_private(const net::ip::address& address) {
+  if (address.is_loopback()) return true;
+  if (address.is_v6()) {
+    const auto b = address.to_v6().to_bytes();
+    return (b[0] & 0xfe) == 0xfc || (b[0] == 0xfe && (b[1] & 0xc0) == 0x80);
+  }
+  const auto b = address.to_v4().to_bytes();
+  return b[0] == 10 || (b[0] == 172 && (b[1] & 0xf0) == 16) || (b[0] == 192 && b[1] == 168) ||
+         (b[0] == 169 && b[1] == 254);
+}
+
 class Streams::Impl : public std::enable_shared_from_this<Streams::Impl> {
  public:
   Impl(net::io_context& io, const Address& listen, Hello self, Hooks hooks)
--- a/relay/copies/streams.hpp
+++ b/relay/copies/streams.hpp
@@ -17,6 +17,9 @@
 
 namespace heronvane::copies {
 
+// Loopback, private or link-local (RFC 1918, 3927, 4193, 4291): connections are neither encrypted nor signed.
+bool is_private(const boost::asio::ip::address& address);
+
 class Streams {
  public:
   using Address = boost::asio::ip::tcp::endpoint;
--- a/tests/copies/carried_test.cpp
+++ b/tests/copies/carried_test.cpp
@@ -484,6 +484,14 @@
   std::uint64_t greeted = 0;
 };
 
+TEST(Addresses, AreLoopbackOrPrivate) {
+  for (const char* a : {"127.0.0.1", "10.1.2.3", "172.16.0.1", "172.31.255.1", "192.168.7.1", "169.254.1.1",
+                        "::1", "fd00::1", "fe80::1"})
+    EXPECT_TRUE(is_private(net::ip::make_address(a))) << a;
+  for (const char* a : {"8.8.8.8", "172.32.0.1", "172.15.0.1", "193.168.0.1", "0.0.0.0", "2001:db8::1"})
+    EXPECT_FALSE(is_private(net::ip::make_address(a))) << a;
+}
+
 TEST_F(Connections, MembersAskAndAnswerAndComeBack) {
   const auto at_a = free_address(), at_b = free_address();
   auto a = member("A", at_a, "lab"), b = member("B", at_b, "lab");
