No message of a bundle outlives the one that leads it

At fault: Calls::write (relay/calls.cpp) put the messages in the order in which the module sent them, so the first of them could have less time than the call. Change: ordered by the time that is left to each, the longest first.

CallsCrossingTest.NoMessageOfABundleOutlivesItsFirst fails on the build before: 'Which is: { "a", "b", "c", "d", "e" }'.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -190,6 +190,10 @@
     longest = std::max(longest, call->messages[i].timeout);
     live.push_back(std::move(call->messages[i]));
   }
+  // No message of a call outlives its first: an endpoint may take the first one's time for that of
+  // the call, and what it answers later for no answer.
+  std::stable_sort(live.begin(), live.end(),
+                   [](const Outgoing& a, const Outgoing& b) { return a.timeout > b.timeout; });
   call->messages = std::move(live);
   call->over.assign(call->messages.size(), false);
   const bool single = call->messages.size() == 1;
--- /dev/null
+++ b/tests/crossings/calls_test.cpp
@@ -0,0 +1,70 @@
+// Calls to endpoints where two events meet: what a bundle's messages have left, late and stray bytes, resets.
+#include <algorithm>
+
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+const std::string kSafe = "load-status", kUnsafe = "pay-and-order";
+
+class CallsCrossingTest : public RelayTest {
+ protected:
+  // The ids of a bundle's body, in their order.
+  static std::vector<std::string> ids_of(const std::string& body) {
+    std::vector<std::string> ids;
+    const std::string name = "\"id\":\"";
+    for (auto at = body.find(name); at != std::string::npos; at = body.find(name, at)) {
+      at += name.size();
+      ids.push_back(body.substr(at, body.find('"', at) - at));
+    }
+    return ids;
+  }
+  // Tells a wait on the first call, so that all that is handed in until its end goes in one bundle.
+  std::shared_ptr<Session> bundle_of(const std::vector<std::pair<std::string, std::string>>& messages) {
+    std::shared_ptr<Session> session;
+    bool told = false;
+    endpoint.on_request([&, this](const Got& g) {
+      if (g.request.target() == "/events/bundle") {
+        bundle = g.request;
+        session = g.session;
+        return;
+      }
+      g.session->answer(200, told ? "" : "X-Come-Back-Ms: 800\r\n");
+      told = true;
+    });
+    EXPECT_EQ(hand_in("m0", kSafe), 202u);
+    wait_for([&] { return told; }, "the wait is told");
+    for (const auto& [id, left] : messages) EXPECT_EQ(hand_in(id, kUnsafe, "hello", left), 202u);
+    wait_for([&] { return session != nullptr; }, "the bundle");
+    return session;
+  }
+  Request bundle;
+};
+
+// An endpoint may take the time of a call's first message for that of the call. Guards against answers that
+// such an endpoint gives after that time, to a call that the relay still waits for: they count for nothing
+// there, and the messages behind the first one would end as delivered here.
+TEST_F(CallsCrossingTest, NoMessageOfABundleOutlivesItsFirst) {
+  members = member("s-1", endpoint.address(), "ready", "big");
+  start();
+  const auto session =
+      bundle_of({{"a", "2500m"}, {"b", "6000m"}, {"c", "3000m"}, {"d", "5000m"}, {"e", "2700m"}});
+  EXPECT_EQ(ids_of(bundle.body()), (std::vector<std::string>{"b", "d", "c", "e", "a"}));
+  // Those with less time end by their notices meanwhile; what comes while the first one has time counts.
+  wait_for([&] { return finals.find("\"a\"") != std::string::npos; },
+           "the one with the least time is given up");
+  session->answer(200, "",
+                  R"([{"id":"b","state":"done"},{"id":"d","state":"done"},{"id":"c","state":"done"},)"
+                  R"({"id":"e","state":"done"},{"id":"a","state":"done"}])");
+  wait_for([&] { return logged().find("stopping") == std::string::npos && hand_in("b", kUnsafe) == 202u; },
+           "the relay answers on");
+  ::kill(child, SIGTERM);
+  wait_exit();
+  EXPECT_NE(logged().find("stopped: 0 messages left"), std::string::npos) << logged();
+  EXPECT_EQ(finals.find("\"b\""), std::string::npos) << "delivered, so nothing is owed";
+  EXPECT_EQ(finals.find("\"d\""), std::string::npos);
+}
+
+}  // namespace
+}  // namespace heronvane::testing
