What a restart found untried is not handed back for new messages

Change: what an earlier life took on and nobody called yet is left out of that. What comes in waits or is refused instead, with when to come back; the buffer's bound stands.

Recovery.WhatIsUntriedIsNotHandedBackForNewMessages fails without it.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -682,7 +682,7 @@
   void on(const event::Recovered& ev) {
     on(ev.message);
     Message& m = messages.at(ev.message.id);
-    m.sends = ev.attempts;
+    m.sends = ev.attempts, m.recovered = true;
     m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
     const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
     if (!barred && m.sends < set.attempts_max && now < latest_send(m)) return;
@@ -1031,7 +1031,8 @@
     if (held_then > most)
       for (auto* e : waiting.least(held_then - most, urgent)) {
         Message& m = static_cast<Message&>(*e);
-        if (!may_refuse(m)) continue;
+        // What an earlier life took on is tried before it is handed back: what comes in now waits or is refused.
+        if (!may_refuse(m) || (m.recovered && m.sends == 0)) continue;
         finish(m, true);
         ended.push_back(m.id);
       }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -682,6 +682,22 @@
   EXPECT_EQ(r.sends_of(1), 0);
   EXPECT_EQ(r.sends_of(2), 1);
 }
+// Guards against a restart that gives its backlog up with no call, since what comes in now is worth more.
+TEST(Recovery, WhatIsUntriedIsNotHandedBackForNewMessages) {
+  auto s = plain();
+  s.open_max = 10;
+  s.slots = 1;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.arrive(kUnsafe);  // holds the slot
+  for (MessageId id = 101; id <= 108; id++) r.round({recovered(id, kSafe, 0, false)});
+  r.round({recovered(109, kSafe, 1, false)});
+  std::vector<MessageId> fresh;
+  for (int i = 0; i < 4; i++) fresh.push_back(r.arrive(kSafe));
+  for (MessageId id = 101; id <= 108; id++) EXPECT_EQ(r.refused.count(id), 0u) << id;
+  EXPECT_EQ(r.refused.count(109), 1u) << "it was tried, so it is as good as a new one";
+  EXPECT_GE(r.refused.size(), 4u) << "room is made all the same";
+}
 TEST(Waits, AWaitToldWithAServeHoldsToo) {
   Relay r;
   r.list({{.id = "a", .destination = 1}});
