Lingering closes towards clients, a stop that ends clean, timers deaf to what is queued

Need, by reading: (1) Session::close shut both ways and closed, also over unread bytes: that resets the connection, and with it an answer that is on its way. (2) At SIGTERM drain() closed new connections whose first request was on its way; at the exit those that rested were reset, with a request in them at worst. (3) At the exit notices could be owed that the platform would have taken; a call whose connection came up after the last moment for calls was still made, and cut. (4) Session::limit, Calls::arm, wake_timer_ and the streams' watch acted for a time that had been set anew or cancelled, where their handler was queued; a call's time or a cancel beat an answer that lay in the socket.

Change: after the last answer, and when an idle connection is closed for its age or a stop, the sending side is shut and what comes is read away until the client ends, within 1 s and 1 MiB; nothing of it is a request. Only a client that does not read, and one that gives way to another, are closed at once. A stop closes what rests between requests, waits for first requests, 0.6 s later takes the last that wait to be accepted, and ends once its clients are gone and its notices told, or at 3 s. Calls that have no connection when no more are begun are taken back, and have provably not run. Half a request is answered 400 with the reason; one that is whole in that moment is served: the read ends by its own handler. All timers of intake, calls, the round, the fleet, the admin socket and copies' streams are alarms. An answer that is in the socket when its call's time is up, when it is cancelled, or at the exit, counts.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -83,7 +83,7 @@
   Stage stage = Stage::connecting;
   Time sent = steady_now();
   std::shared_ptr<Connection> connection;
-  net::steady_timer timer;
+  Alarm timer;
   http::request<http::string_body> request;
   AnswerReader answer;
   Time answer_due = 0;  // for the rest of an answer that has begun; 0: none has
@@ -157,10 +157,7 @@
 }
 
 void Calls::begin_at(const std::shared_ptr<Call>& call, Time when) {
-  call->timer.expires_after(span(std::max<Time>(when - steady_now(), 0)));
-  call->timer.async_wait([this, call](error_code bad) {
-    if (!bad && call->stage != Call::Stage::done) begin(call);
-  });
+  call->timer.set(span(std::max<Time>(when - steady_now(), 0)), [this, call] { begin(call); });
 }
 
 void Calls::connect(const std::shared_ptr<Call>& call, const tcp::endpoint& address) {
@@ -229,26 +226,30 @@
 void Calls::read(const std::shared_ptr<Call>& call) {
   call->connection->socket.async_wait(tcp::socket::wait_read, [this, call](error_code bad) {
     if (call->stage == Call::Stage::done) return;
-    using State = AnswerReader::State;
-    State state = State::broken;
-    if (!bad) {
-      const std::size_t size = call->connection->socket.read_some(net::buffer(chunk_), bad);
-      if (bad == net::error::would_block) return read(call);
-      state = bad == net::error::eof ? call->answer.end()
-              : bad                  ? State::broken
-                                     : call->answer.put(chunk_.data(), size);
-    }
-    if (state == State::whole) return answered(call);
-    if (state == State::broken) return broken(call);
-    const bool begun = call->answer.begun();
-    if (begun != (call->answer_due > 0)) {
-      call->answer_due = begun ? steady_now() + kAnswerTime : 0;
-      arm(call);
-    }
-    read(call);
+    if (bad) return broken(call);
+    if (take(call)) read(call);
   });
 }
 
+// Reads what has come of the answer; false once that ended the call.
+bool Calls::take(const std::shared_ptr<Call>& call) {
+  using State = AnswerReader::State;
+  error_code bad;
+  const std::size_t size = call->connection->socket.read_some(net::buffer(chunk_), bad);
+  if (bad == net::error::would_block) return true;
+  const State state = bad == net::error::eof ? call->answer.end()
+                      : bad                  ? State::broken
+                                             : call->answer.put(chunk_.data(), size);
+  if (state == State::whole) return answered(call), false;
+  if (state == State::broken) return broken(call), false;
+  const bool begun = call->answer.begun();
+  if (begun != (call->answer_due > 0)) {
+    call->answer_due = begun ? steady_now() + kAnswerTime : 0;
+    arm(call);
+  }
+  return true;
+}
+
 // The stream can't be trusted any more: what was sent may have run, whatever the first line said but 200.
 void Calls::broken(const std::shared_ptr<Call>& call) {
   if (call->answer.has_head()) call->told_wait = call->answer.told_wait();
@@ -337,9 +338,10 @@
     if (!call->over[i]) due = std::min(due, call->sent + call->messages[i].timeout);
   if (call->stage == Call::Stage::connecting) due = std::min(due, call->connect_due(limits_));
   if (call->answer_due > 0) due = std::min(due, call->answer_due);
-  call->timer.expires_after(span(std::max<Time>(due - steady_now(), 0)));
-  call->timer.async_wait([this, call](error_code bad) {
-    if (bad || call->stage == Call::Stage::done) return;
+  call->timer.set(span(std::max<Time>(due - steady_now(), 0)), [this, call] {
+    // An answer that is here counts, though it is read only now: its time was up in the same moment, or this
+    // process stood still.
+    if (call->stage == Call::Stage::waiting && !take(call)) return;
     const Time now = steady_now();
     const bool connecting = call->stage == Call::Stage::connecting;
     if (connecting && now >= call->connect_due(limits_)) return end_all(call, Outcome::connect_failed);
@@ -403,6 +405,8 @@
   const auto found = by_message_.find(id);
   if (found == by_message_.end()) return;
   const auto call = found->second;
+  // As when its time is up: an answer that is here counts.
+  if (call->stage == Call::Stage::waiting && !take(call)) return;
   for (std::size_t i = 0; i < call->messages.size(); i++)
     if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
       const bool begun = call->stage != Call::Stage::connecting;
@@ -417,6 +421,13 @@
     if (call->stage == Call::Stage::connecting) end_all(call, Outcome::not_sent);
 }
 
+void Calls::take_answers() {
+  std::vector<std::shared_ptr<Call>> all;
+  for (const auto& [endpoint, calls] : calls_) all.insert(all.end(), calls.begin(), calls.end());
+  for (const auto& call : all)
+    if (call->stage == Call::Stage::waiting) take(call);
+}
+
 void Calls::hold_back_all() {
   std::vector<EndpointId> all;
   for (const auto& [endpoint, calls] : calls_) all.push_back(endpoint);
@@ -457,10 +468,7 @@
   const Time now = steady_now(), most = static_cast<Time>(kKeptPart * static_cast<double>(limits_.idle));
   connections_.aged += kept_.drop_idle_since(now - most);
   if (kept_.empty()) return;
-  sweep_timer_.expires_after(span(kept_.oldest() + most - now));
-  sweep_timer_.async_wait([this](error_code bad) {
-    if (!bad) sweep();
-  });
+  sweep_timer_.set(span(kept_.oldest() + most - now), [this] { sweep(); });
 }
 
 }  // namespace heronvane
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -7,7 +7,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +16,7 @@
 #include "backs/kept_connections.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "clock.hpp"
+#include "core/alarm.hpp"
 #include "log.hpp"
 
 namespace heronvane {
@@ -62,6 +62,8 @@
   // Ends, as not sent, the calls to an endpoint of which no byte has gone out.
   void hold_back(const EndpointId& endpoint);
   void hold_back_all();
+  // Reads the answers that are here, as the loop would in its next turn.
+  void take_answers();
 
   std::size_t out() const { return out_; }
   std::size_t kept() const { return kept_.size(); }
@@ -88,6 +90,7 @@
   void connect(const std::shared_ptr<Call>& call, const boost::asio::ip::tcp::endpoint& address);
   void write(const std::shared_ptr<Call>& call);
   void read(const std::shared_ptr<Call>& call);
+  bool take(const std::shared_ptr<Call>& call);
   void answered(const std::shared_ptr<Call>& call);
   void broken(const std::shared_ptr<Call>& call);
   void answered_bundle(const std::shared_ptr<Call>& call);
@@ -106,7 +109,7 @@
   MayBegin may_begin_;
   Tally odd_;
   std::array<char, 16 * 1024> chunk_{};  // what was read last
-  boost::asio::steady_timer sweep_timer_;
+  Alarm sweep_timer_;
   std::unordered_map<EndpointId, boost::asio::ip::tcp::endpoint> places_;
   std::unordered_map<EndpointId, std::vector<std::shared_ptr<Call>>> calls_;  // out, by endpoint
   std::unordered_map<MessageId, std::shared_ptr<Call>> by_message_;  // their messages, until each is over
--- a/relay/copies/streams.cpp
+++ b/relay/copies/streams.cpp
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "core/alarm.hpp"
+
 namespace heronvane::copies {
 
 namespace net = boost::asio;
@@ -61,10 +63,7 @@
 
  private:
   void watch() {
-    watch_.expires_after(Streams::kSilence);
-    watch_.async_wait([self = shared_from_this()](error_code bad) {
-      if (!bad) self->close();
-    });
+    watch_.set(Streams::kSilence, [self = shared_from_this()] { self->close(); });
   }
   void read() {
     net::async_read(socket_, net::buffer(lengths_), [self = shared_from_this()](error_code bad, std::size_t) {
@@ -101,7 +100,7 @@
   }
 
   Tcp::socket socket_;
-  net::steady_timer watch_;
+  Alarm watch_;
   Streams::Counts& counts_;
   Hooks hooks_;
   char lengths_[kFrameHead] = {};
--- a/relay/fail_points.hpp
+++ b/relay/fail_points.hpp
@@ -13,7 +13,8 @@
 // Operations that need room are write, create and allocate. They fail with ENOSPC; a write may leave a part
 // of its bytes.
 //
-//   HERONVANE_DEFECT=name      the process has that defect, for the tests of who has to find it (tests/lab): at
+//   HERONVANE_DEFECT=name      the process has that defect, for the tests of who has to find it (tests/lab):
+//   at
 //                              HERONVANE_DEFECT(name) in the sources it does what is wrong
 //
 // Points: `disk.OPERATION.before` and `.after` around each operation of the store's Disk that changes
--- a/relay/fronts/admin.cpp
+++ b/relay/fronts/admin.cpp
@@ -13,6 +13,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "core/alarm.hpp"
 #include "framing.hpp"
 
 namespace heronvane {
@@ -109,10 +110,7 @@
 
   template <class Duration>
   void limit(Duration time) {
-    timer_.expires_after(time);
-    timer_.async_wait([self = shared_from_this()](error_code bad) {
-      if (!bad) self->close();
-    });
+    timer_.set(time, [self = shared_from_this()] { self->close(); });
   }
 
   void next() {
@@ -176,10 +174,8 @@
     timer_.cancel();
     const Time now = steady_now();
     if (now < admin_.turn_at_) {
-      turn_.expires_after(std::chrono::microseconds(admin_.turn_at_ - now));
-      return turn_.async_wait([self = shared_from_this()](error_code bad) {
-        if (!bad && !self->closed_) self->handle();
-      });
+      return turn_.set(std::chrono::microseconds(admin_.turn_at_ - now),
+                       [self = shared_from_this()] { self->handle(); });
     }
     const auto& request = parser_->get();
     close_after_ = !request.keep_alive();
@@ -213,7 +209,7 @@
   using Buffer = beast::flat_buffer;
   Admin& admin_;
   Socket socket_;
-  net::steady_timer timer_, turn_;
+  Alarm timer_, turn_;
   Buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -29,8 +29,11 @@
 constexpr auto kAnswerTime = std::chrono::seconds(2);  // for an answer to go
 constexpr auto kIdleTime = std::chrono::seconds(60);   // between requests, while there is room
 constexpr Time kIdleLeast = 2'000'000;                 // and while it is short
-constexpr auto kLingerTime = std::chrono::seconds(1);  // for the rest of a request that was turned down
+// What a client sends after the last answer is read away for so long, and so much of it.
+constexpr auto kLingerTime = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = 1 << 20;
+constexpr auto kLastRequest =
+    std::chrono::milliseconds(200);  // for the first request, once no more are wanted
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 // Where three quarters of the connections are in use, room is short.
 constexpr std::size_t kShortOf = 4, kShort = 3;
@@ -38,6 +41,7 @@
 constexpr Time kUnusedFirst = 3'600'000'000;  // ranks those without a whole request before the rest
 constexpr Time kNever = std::numeric_limits<Time>::max();
 constexpr Time kComeBack = 500'000;  // what was turned away for want of room may come again
+constexpr auto kLastLook = std::chrono::milliseconds(20);  // until a read that is late is ended again
 
 std::string seconds_text(Time t) {
   char text[32];
@@ -68,23 +72,30 @@
     limit(kRequestTime);
     wait();
   }
-  // Closes if no request has begun; one that has begun is answered first.
+  // Parts if it stands between requests; one that has begun is answered first, and the first one of a new
+  // connection may be on its way.
   void drain() {
-    if (idle() && !has_bytes()) close();
+    if (idle() && used_ && !has_bytes()) part();
   }
-  // Closes for want of room; false if a request has just come.
+  // As drain(), and a first request has little time left to come.
+  void finish() {
+    drain();
+    if (idle()) limit(kLastRequest);
+  }
+  // Makes room for another connection, which can't wait; false if a request has just come.
   bool make_room() {
     if (has_bytes() && stage_ != Stage::lingering) return false;
     close();
     return true;
   }
 
+  // At once: what was written and has not arrived may be lost where the client sends on. For connections of
+  // which nothing is owed; all others part().
   void close() {
     if (closed_) return;
     closed_ = true;
     error_code ignored;
     timer_.cancel();
-    socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     release();
     intake_.sessions_.erase(shared_from_this());
@@ -99,16 +110,29 @@
   }
   template <class Duration>
   void limit(Duration time) {
-    timer_.expires_after(time);
-    timer_.async_wait([self = shared_from_this()](error_code bad) {
-      if (bad || self->closed_) return;
-      if (!self->idle()) self->intake_.tally_.add("half a request");
-      self->close();
-    });
+    timer_.set(time, [self = shared_from_this()] { self->out_of_time(); });
+  }
+  void out_of_time() {
+    switch (stage_) {
+      case Stage::idle:
+        // A request that comes in this moment is read; it has its own time.
+        return has_bytes() ? limit(kRequestTime) : part();
+      case Stage::reading: {
+        // Ends the read that is under way, by its own handler: what is whole by then is handled all the same.
+        error_code ignored;
+        late_ = true;
+        limit(kLastLook);
+        socket_.cancel(ignored);
+        return;
+      }
+      case Stage::answering:  // the client does not read
+      case Stage::lingering:
+        return close();
+    }
   }
 
   void next() {
-    used_ = true;
+    used_ = true, late_ = false;
     since_ = steady_now();
     parser_.reset();
     release();
@@ -117,16 +141,31 @@
       return read_header();
     }
     buffer_ = Buffer(kMostHeader + kMostBody);  // an idle connection holds no memory
-    if (intake_.draining_) return close();
+    if (intake_.draining_) return part();
     limit(kIdleTime);
     wait();
   }
 
+  // A lingering close: the sending side is shut, then what comes is read away until the client ends. Nothing
+  // of it is a request any more. Closing over unread bytes would reset the connection, and the last answer
+  // with it.
+  void part() {
+    release();
+    parser_.reset();
+    stage_ = Stage::lingering;
+    limit(kLingerTime);
+    error_code ignored;
+    socket_.cancel(ignored);
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    linger();
+  }
+
   // The first request of a new connection is waited for while draining too: it may be on the way.
   void wait() {
     stage_ = Stage::idle;
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
-      if (bad || self->closed_) return self->close();
+      if (self->closed_ || self->stage_ != Stage::idle) return;
+      if (bad) return self->close();
       // The first request's time has run since the connection came.
       if (self->used_) self->limit(kRequestTime);
       self->since_ = steady_now();
@@ -182,6 +221,7 @@
 
   // Half a request, by a client that left, is nobody's; one that can't be read is answered.
   void unreadable(error_code bad) {
+    if (late_ && bad == net::error::operation_aborted) return turn_down(400, "half a request");
     const bool left = bad == http::error::end_of_stream || bad == http::error::partial_message ||
                       bad.category() == net::error::get_system_category() ||
                       bad.category() == net::error::get_misc_category();
@@ -192,7 +232,7 @@
   void turn_down(unsigned status, const char* why) {
     intake_.tally_.add(why);
     stage_ = Stage::answering;
-    close_after_ = doubtful_ = true;
+    close_after_ = true;
     answer({status, status == 503 ? kComeBack : 0}, why);
   }
 
@@ -233,34 +273,25 @@
     http::async_write(socket_, response_, [self = shared_from_this()](error_code bad, std::size_t) {
       if (self->closed_) return;
       if (bad) return self->close();
-      if (!self->close_after_) return self->next();
-      if (!self->doubtful_) return self->close();
-      self->release();
-      self->parser_.reset();
-      self->stage_ = Stage::lingering;
-      self->limit(kLingerTime);
-      error_code ignored;
-      self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      self->linger();
+      self->close_after_ ? self->part() : self->next();
     });
   }
 
-  // Reads away the rest of what was turned down: closing before that would reset the answer.
   void linger() {
-    buffer_.clear();
-    socket_.async_read_some(buffer_.prepare(kMostHeader),
-                            [self = shared_from_this()](error_code bad, std::size_t size) {
-                              if (self->closed_) return;
-                              self->lingered_ += size;
-                              if (bad || self->lingered_ > kLingerBytes) return self->close();
-                              self->linger();
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
+      if (self->closed_) return;
+      char away[4096];
+      const std::size_t size = bad ? 0 : self->socket_.read_some(net::buffer(away), bad);
+      self->lingered_ += size;
+      if ((bad && bad != net::error::would_block) || self->lingered_ > kLingerBytes) return self->close();
+      self->linger();
+    });
   }
 
   using Buffer = beast::flat_buffer;
   Intake& intake_;
   tcp::socket socket_;
-  net::steady_timer timer_;
+  Alarm timer_;
   Buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
@@ -268,7 +299,8 @@
   Time since_ = 0;  // of being idle, or of reading
   std::size_t reserved_ = 0, lingered_ = 0;
   bool used_ = false;  // a whole request has come
-  bool closed_ = false, close_after_ = false, doubtful_ = false;
+  bool closed_ = false, close_after_ = false;
+  bool late_ = false;  // the request that is being read has had its time
 };
 
 Intake::Intake(net::io_context& io, tcp::acceptor listener, const cedarplank::Settings& settings,
@@ -292,10 +324,7 @@
     if (bad) {
       // Guards against spinning while no descriptor is free.
       log("accept: " + bad.message());
-      pause_.expires_after(kAcceptPause);
-      return pause_.async_wait([this](error_code stopped) {
-        if (!stopped) accept();
-      });
+      return pause_.set(kAcceptPause, [this] { accept(); });
     }
     make_room();
     if (sessions_.size() >= limits_.clients) {
@@ -303,11 +332,13 @@
     } else {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
+      socket.non_blocking(true, ignored);
       const auto session = std::make_shared<Session>(*this, std::move(socket));
       sessions_.insert(session);
       session->start();
+      if (finishing_) session->finish();
     }
-    accept();
+    if (!finishing_) accept();
   });
 }
 
@@ -335,6 +366,28 @@
     session->drain();
 }
 
+void Intake::finish() {
+  if (std::exchange(finishing_, true)) return;
+  pause_.cancel();
+  error_code bad;
+  acceptor_.non_blocking(true, bad);
+  // Those that wait to be accepted would be reset with what they wrote.
+  while (!bad && sessions_.size() < limits_.clients) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, bad);
+    if (bad) break;
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    const auto session = std::make_shared<Session>(*this, std::move(socket));
+    sessions_.insert(session);
+    session->start();
+  }
+  acceptor_.close(bad);
+  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
+    session->finish();
+}
+
 bool Intake::busy() const {
   return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return !s->idle(); });
 }
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -3,11 +3,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <set>
 
+#include "core/alarm.hpp"
 #include "core/message.hpp"
 #include "core/outbox.hpp"
 #include "log.hpp"
@@ -35,7 +36,11 @@
 
   // From now on connections are closed once they stand between requests; new ones are still answered.
   void drain();
-  // Whether a request is being read or answered.
+  // After drain(): no new connections from now on, and those that brought no request yet are closed, too. All
+  // are gone once clients() is 0, within kFinishMost.
+  void finish();
+  static constexpr std::chrono::milliseconds kFinishMost{1200};
+  // Whether a request is being read or answered, or an answer may still be on its way.
   bool busy() const;
   std::size_t clients() const { return sessions_.size(); }  // connections
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
@@ -48,13 +53,13 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
+  Alarm pause_;
   const cedarplank::Settings& settings_;
   const cedarplank::adapter::Tables& names_;
   IntakeLimits limits_;
   Take take_;
   Ready ready_;
-  bool draining_ = false;
+  bool draining_ = false, finishing_ = false;
   std::size_t body_bytes_ = 0;
   Tally tally_;
   std::set<std::shared_ptr<Session>> sessions_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -26,6 +26,7 @@
 // After SIGTERM, whose SIGKILL comes no sooner than 3.7 s later: how long new connections may still come;
 // until when calls are begun; when the process ends, with calls out or not.
 constexpr Time kDrainAccept = 600'000, kDrainSend = 1'500'000, kDrainMost = 3'000'000;
+static_assert(std::chrono::microseconds(kDrainMost - kDrainAccept) > Intake::kFinishMost);
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
 
 std::chrono::microseconds span(Time t) { return std::chrono::microseconds(std::max<Time>(t, 0)); }
@@ -396,10 +397,7 @@
   const Time at = last_round_ + (urgent ? round_gap_.urgent() : round_gap_.usual());
   if (round_due_ && round_at_ <= at) return;
   round_due_ = true, round_at_ = at;
-  round_timer_.expires_after(span(at - steady_now()));
-  round_timer_.async_wait([this](error_code bad) {
-    if (!bad) round();
-  });
+  round_timer_.set(span(at - steady_now()), [this] { round(); });
 }
 
 // ---- The round. ----
@@ -584,9 +582,7 @@
 }
 
 void Relay::retry_later() {
-  stall_timer_.expires_after(kStallRetry);
-  stall_timer_.async_wait([this](error_code bad) {
-    if (bad) return;
+  stall_timer_.set(kStallRetry, [this] {
     settle();
     if (store_.wants_compaction()) compact();
   });
@@ -664,9 +660,7 @@
 
 void Relay::arm_timers() {
   if (timers_.empty()) return;
-  module_timer_.expires_after(span(timers_.begin()->first - steady_now()));
-  module_timer_.async_wait([this](error_code bad) {
-    if (bad) return;
+  module_timer_.set(span(timers_.begin()->first - steady_now()), [this] {
     const Time now = steady_now();
     while (!timers_.empty() && timers_.begin()->first <= now) {
       happened(event::TimerDue{timers_.begin()->second});
@@ -684,9 +678,7 @@
     if (step == store::Store::Step::more) return compact();
     if (!compacting_) return;
     // Guards against a full disk that keeps a core busy.
-    compact_timer_.expires_after(kCompactRetry);
-    compact_timer_.async_wait([this](error_code bad) {
-      if (bad) return;
+    compact_timer_.set(kCompactRetry, [this] {
       compacting_ = false;
       if (store_.wants_compaction()) compact();
     });
@@ -714,22 +706,25 @@
 void Relay::check_drained() {
   const Time since = steady_now() - stop_at_;
   if (since >= kDrainSend && !std::exchange(frozen_, true)) {
-    // What waits for its records would go too late for its answer to come home.
+    // What waits for its records, or for its connection, would go too late for its answer to come home. None
+    // of it has run, and its record says so.
+    calls_.hold_back_all();
     outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
     settle();
   }
   if (settle_due_) settle();
-  const bool home = calls_.out() == 0 && (frozen_ || store_.held().empty());
-  const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
+  const bool home = calls_.out() == 0 && (frozen_ || store_.held().empty()) && !platform_.notices_owed();
+  if (since >= kDrainAccept) intake_->finish();
+  const bool quiet = since >= kDrainAccept && intake_->clients() == 0 && arrived_.empty();
   if (since >= kDrainMost || (home && quiet && !unwritten_ && outbox_.empty())) {
+    // No call that was answered is left without its record.
+    calls_.take_answers();
+    settle();
     log("stopped: " + std::to_string(store_.held().size()) + " messages left in the store, " +
         std::to_string(calls_.out()) + " calls out");
     return done_();
   }
-  drain_timer_.expires_after(kDrainLook);
-  drain_timer_.async_wait([this](error_code bad) {
-    if (!bad) check_drained();
-  });
+  drain_timer_.set(kDrainLook, [this] { check_drained(); });
 }
 
 }  // namespace heronvane
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <map>
@@ -18,6 +17,7 @@
 #include "calls.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
+#include "core/alarm.hpp"
 #include "core/directory.hpp"
 #include "core/drain.hpp"
 #include "core/held_gauge.hpp"
@@ -182,8 +182,8 @@
   WakeWatch wake_;
   bool waking_ = false;  // the module is not asked
   std::int64_t generation_;
-  boost::asio::steady_timer beat_timer_, wake_timer_, drained_timer_;
-  boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_, compact_timer_;
+  Alarm beat_timer_, wake_timer_, drained_timer_;
+  Alarm round_timer_, module_timer_, stall_timer_, drain_timer_, compact_timer_;
   std::function<void()> done_;
   std::optional<Intake> intake_;  // last: it accepts once all else stands
 };
--- a/relay/relay_fleet.cpp
+++ b/relay/relay_fleet.cpp
@@ -92,20 +92,14 @@
       again = kWriteAgain;
     }
   }
-  drained_timer_.expires_after(again);
-  drained_timer_.async_wait([this](error_code bad) {
-    if (!bad) look_drained();
-  });
+  drained_timer_.set(again, [this] { look_drained(); });
 }
 
 // ---- Waking from a stop. ----
 void Relay::beat() {
   if (!config_.own.relay.wake) return;
   turned();
-  beat_timer_.expires_after(std::chrono::microseconds(WakeWatch::kBeat));
-  beat_timer_.async_wait([this](error_code bad) {
-    if (!bad) beat();
-  });
+  beat_timer_.set(std::chrono::microseconds(WakeWatch::kBeat), [this] { beat(); });
 }
 
 // Asked before the module is, and before a call begins: whichever comes first after a stop finds it out.
@@ -123,10 +117,7 @@
   outbox_.withdraw_all([this](const EndpointId& to, const Outgoing& m) { take_back(to, m); });
   settle();
   platform_.refresh([this] { awake(); });
-  wake_timer_.expires_after(std::chrono::microseconds(WakeWatch::kListTime));
-  wake_timer_.async_wait([this](error_code bad) {
-    if (!bad) awake();
-  });
+  wake_timer_.set(std::chrono::microseconds(WakeWatch::kListTime), [this] { awake(); });
 }
 
 void Relay::awake() {
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -66,5 +66,29 @@
   EXPECT_EQ(finals.find("\"d\""), std::string::npos);
 }
 
+// The answer and the end of the call's time meet: the process stood still over both.
+TEST_F(CallsCrossingTest, AnAnswerThatIsHereWhenItsTimeIsUpCounts) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  ::kill(child, SIGSTOP);
+  siginfo_t info{};
+  ::waitid(P_PID, static_cast<id_t>(child), &info, WSTOPPED);
+  endpoint.got[0].session->answer(200);
+  // Past the time of the call, two and a half aims, and short of the message's.
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(3000);
+  wait_for([&] { return std::chrono::steady_clock::now() >= until; }, "its time is up");
+  ::kill(child, SIGCONT);
+  endpoint.on_request(answer_ok);
+  EXPECT_EQ(hand_in("m2", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() >= 2; }, "the next call");
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_NE(logged().find("stopped: 0 messages left"), std::string::npos) << logged();
+  ASSERT_EQ(endpoint.got.size(), 2u) << "m1 was delivered, and is not sent again";
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m2");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
--- a/tests/crossings/identity_test.cpp
+++ b/tests/crossings/identity_test.cpp
@@ -65,5 +65,64 @@
   EXPECT_EQ(key_at(1), "k-1");
 }
 
+// The same id with other settings: the first stands, the second inherits and changes nothing.
+TEST_F(IdentityTest, AnIdHandedInAgainWithAnotherClassChangesNothing) {
+  endpoint.on_request([](const Got& g) { g.session->close(); });
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  EXPECT_EQ(hand_in("m1", kSafe, "other"), 202u);
+  wait_for([&] { return !finals.empty(); }, "its end");
+  EXPECT_EQ(hand_in("m1", kSafe, "other"), 202u) << "it is over, and remembered";
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n") << "unsafe, as it was first";
+  EXPECT_EQ(endpoint.got.size(), 1u);
+  EXPECT_EQ(endpoint.got[0].request.body(), "hello");
+}
+
+class ReorderedTest : public IdentityTest {
+ protected:
+  std::string settings() override {
+    std::string s = IdentityTest::settings();
+    if (!reordered) return s;
+    // The second class before the first, and one more in front of both.
+    const auto first = s.find("{\"Name\":\"load-status\""), second = s.find("{\"Name\":\"pay-and-order\"");
+    const auto end = s.find("]", second);
+    const std::string a = s.substr(first, second - first - 1), b = s.substr(second, end - second);
+    return s.replace(
+        first, end - first,
+        R"({"Name":"new","Points":1.0,"Target":500000,"Deadline":900000,"Idempotency":"read_like"},)" + b +
+            "," + a);
+  }
+  bool reordered = false;
+};
+
+// A class is found by its name in the present settings, wherever it stands there now.
+TEST_F(ReorderedTest, ClassesThatMovedBetweenTwoLivesKeepTheirEffects) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("safe", kSafe), 202u);
+  EXPECT_EQ(hand_in("unsafe", kUnsafe, "hello", "24000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "both calls");
+  kill_relay();
+  reordered = true;
+  endpoint.on_request(answer_ok);
+  start();
+  wait_for([&] { return !finals.empty() && endpoint.got.size() == 3; }, "both ends");
+  EXPECT_EQ(finals, "{\"id\":\"unsafe\",\"status\":\"undeliverable\"}\n");
+  EXPECT_EQ(endpoint.got[2].request["X-Request-Id"], "safe");
+}
+
+// One that the settings name no more is told, and ends by its notice.
+TEST_F(ReorderedTest, AClassThatIsGoneEndsByNotice) {
+  endpoint.on_request(stay_silent);
+  reordered = true;
+  start();
+  EXPECT_EQ(hand_in("m1", "new", "hello", "900m"), 202u);
+  kill_relay();
+  reordered = false;
+  start();
+  wait_for([&] { return !finals.empty(); }, "its end");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
