A keyed message is not called once its destination may have forgotten the key

Need, by reading hand-overs from the module to Calls: a keyed message that may have run is sent again while the key is known (Dispatcher::latest_send), but that holds for the decision alone.

Change: the module's Send says within which time its call may begin; Calls::write looks at it right before the first byte and ends what is too late as not sent, which has provably not run.

KeyWindowTest.ACallWhoseConnectionComesUpBehindTheWindowIsNotMade, with an endpoint whose backlog is full until the window is over, fails on the build before: 'late Which is: "POST /events HTTP/1.1 ... X-Request-Id: m1"'.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -179,6 +179,13 @@
 void Calls::write(const std::shared_ptr<Call>& call) {
   // What hears of this may have ended the call already.
   if (!may_begin_()) return call->stage == Call::Stage::done ? void() : end_all(call, Outcome::not_sent);
+  // Guards against an effect twice: the connection may have come up late, and the destination have forgotten
+  // a key.
+  const Time now = steady_now();
+  for (std::size_t i = 0; i < call->messages.size(); i++)
+    if (!call->over[i] && call->messages[i].begin_by > 0 && now > call->messages[i].begin_by)
+      end(call, i, Outcome::not_sent);
+  if (call->stage == Call::Stage::done) return;
   // Those that ended while the connection came up stay out of the call.
   std::vector<Outgoing> live;
   Time longest = 0;
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -31,6 +31,7 @@
   Time timeout = 0;
   std::string wire_id, body;
   std::string idempotency_key;  // empty: none
+  Time begin_by = 0;            // its call may begin until then, as steady_now() tells it; 0: whenever
 };
 
 struct CallLimits {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -471,7 +471,8 @@
                a.timeout,
                held->message.id,
                held->message.body,
-               held->message.idempotency_key};
+               held->message.idempotency_key,
+               a.begin_within ? last_round_ + *a.begin_within : 0};
   store_.sent(a.id, store_.clock().now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
   const auto [open, first] = filling_.try_emplace(a.endpoint, plan.calls.size());
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -839,10 +839,11 @@
   Time latest_send(const Message& m) const {
     // Guards against ends that are told too late: a stall of a few rounds just before the deadline.
     Time t = m.deadline - std::max(2 * set.tick, micros(kLeastLeft * shortest_aim));
-    if (m.cls->effect == Effect::keyed && m.may_ran_zone)
-      t = std::min(t, m.may_ran_sent + m.cls->key_window - set.tick);
+    if (m.cls->effect == Effect::keyed && m.may_ran_zone) t = std::min(t, key_end(m));
     return t;
   }
+  // Until when the destination surely knows the key of a message that may have run.
+  Time key_end(const Message& m) const { return m.may_ran_sent + m.cls->key_window - set.tick; }
 
   // ---- The gate. Every send passes here; it tells when to look again. ----
   // What it says of a message holds for all of its lane, but for what it calls the message's own; and until
@@ -945,7 +946,9 @@
     const double aims = seconds(m.cls->aim) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
     const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
     m.out[m.sends++] = e.open_call;
-    out->push_back(action::Send{m.id, e.info.id, timeout});
+    action::Send a{m.id, e.info.id, timeout, {}};
+    if (m.cls->effect == Effect::keyed && m.may_ran_zone) a.begin_within = key_end(m) - now;
+    out->push_back(std::move(a));
   }
 
   // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
@@ -1031,7 +1034,8 @@
     if (held_then > most)
       for (auto* e : waiting.least(held_then - most, urgent)) {
         Message& m = static_cast<Message&>(*e);
-        // What an earlier life took on is tried before it is handed back: what comes in now waits or is refused.
+        // What an earlier life took on is tried before it is handed back: what comes in now waits or is
+        // refused.
         if (!may_refuse(m) || (m.recovered && m.sends == 0)) continue;
         finish(m, true);
         ended.push_back(m.id);
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -90,5 +90,61 @@
   EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m2");
 }
 
+class KeyWindowTest : public CallsCrossingTest {
+ protected:
+  std::string settings() override {
+    std::string s = CallsCrossingTest::settings();
+    const std::string unsafe = R"("Idempotency":"non_idempotent")";
+    return s.replace(s.find(unsafe), unsafe.size(), R"("Idempotency":"idempotency_key","Window":800000)");
+  }
+};
+
+// The call that may have run is repeated in time, but its connection comes up late: by then the destination
+// may have forgotten the key. Nothing is written on it.
+TEST_F(KeyWindowTest, ACallWhoseConnectionComesUpBehindTheWindowIsNotMade) {
+  tcp::acceptor there(io);
+  there.open(tcp::v4());
+  there.bind({net::ip::make_address(own_address()), 0});
+  there.listen(0);
+  there.non_blocking(true);
+  const auto address = there.local_endpoint();
+  members = member("s-1", own_address() + ":" + std::to_string(address.port()));
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  tcp::socket first(io);
+  const auto accepts = [&](tcp::socket& socket) {
+    error_code bad;
+    there.accept(socket, bad);
+    return !bad;
+  };
+  wait_for([&] { return accepts(first); }, "the first call's connection");
+  std::string got;
+  net::read_until(first, net::dynamic_buffer(got), "hello");
+  // From now on no connection comes up there, until the crowd is taken away.
+  std::vector<tcp::socket> crowd;
+  for (int i = 0; i < 3; i++) {
+    crowd.emplace_back(io);
+    crowd.back().async_connect(address, [](error_code) {});
+  }
+  first.set_option(net::socket_base::linger(true, 0));
+  first.close();
+  const auto reset = std::chrono::steady_clock::now();
+  wait_for([&] { return std::chrono::steady_clock::now() - reset > std::chrono::milliseconds(850); },
+           "the window is over");
+  for (auto& one : crowd) one.close();
+  std::string late;
+  wait_for(
+      [&] {
+        for (tcp::socket next(io); accepts(next);) {
+          error_code end;
+          net::read(next, net::dynamic_buffer(late), end);
+        }
+        return !finals.empty();
+      },
+      "its end");
+  EXPECT_EQ(late, "") << "nothing is written on a connection that came up too late";
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
