The walk over all messages holds the new rule for what is handed back

Index.ChoosesWhatAWalkOverAllMessagesWould failed since "What a restart found untried is not handed back": the walk that the index is held against asked may_refuse alone. Both ask may_hand_back now, where the rule stands once.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -707,6 +707,8 @@
     if (m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::all) return true;
     return m.out.empty() && !m.may_ran_zone;
   }
+  // For want of room. What an earlier life took on is tried first: what comes in now waits or is refused.
+  bool may_hand_back(const Message& m) const { return may_refuse(m) && !(m.recovered && m.sends == 0); }
   void finish(Message& m, bool again) {
     if (m.over) return;
     end(m);
@@ -1036,7 +1038,7 @@
         Message& m = static_cast<Message&>(*e);
         // What an earlier life took on is tried before it is handed back: what comes in now waits or is
         // refused.
-        if (!may_refuse(m) || (m.recovered && m.sends == 0)) continue;
+        if (!may_hand_back(m)) continue;
         finish(m, true);
         ended.push_back(m.id);
       }
