Intake: one place begins a connection, whether it was waited for or taken at a stop

Need: accept() and finish() each set options, made the session and started it. Change: begin() does.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -212,8 +212,8 @@
   MessageId id = 0;
   EndpointId endpoint;
   Time timeout = 0;
-  // Its call may begin within this alone, for its destination forgets the message's key then: one whose connection
-  // is not up by then ends as not sent. Nothing where it may begin whenever.
+  // Its call may begin within this alone, for its destination forgets the message's key then: one whose
+  // connection is not up by then ends as not sent. Nothing where it may begin whenever.
   std::optional<Time> begin_within;
 };
 struct Refuse {
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -330,18 +330,22 @@
     if (sessions_.size() >= limits_.clients) {
       tally_.add("no room for its connection");
     } else {
-      error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      socket.non_blocking(true, ignored);
-      const auto session = std::make_shared<Session>(*this, std::move(socket));
-      sessions_.insert(session);
-      session->start();
-      if (finishing_) session->finish();
+      begin(std::move(socket));
     }
     if (!finishing_) accept();
   });
 }
 
+void Intake::begin(tcp::socket socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->start();
+  if (finishing_) session->finish();
+}
+
 bool Intake::short_of_room() const { return sessions_.size() * kShortOf >= limits_.clients * kShort; }
 
 // One that stands between requests may be closed, one with a request would lose its message.
@@ -375,13 +379,7 @@
   while (!bad && sessions_.size() < limits_.clients) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, bad);
-    if (bad) break;
-    error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.non_blocking(true, ignored);
-    const auto session = std::make_shared<Session>(*this, std::move(socket));
-    sessions_.insert(session);
-    session->start();
+    if (!bad) begin(std::move(socket));
   }
   acceptor_.close(bad);
   for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -48,6 +48,7 @@
  private:
   class Session;
   void accept();
+  void begin(boost::asio::ip::tcp::socket socket);
   void make_room();
   bool short_of_room() const;
 
