A watch whose list is still being read in slices is not taken as silent

Found reading the change once more: Platform::silent could drop a watch while the long list that it had told was being read, slice by slice, on a slow core; the rest of that list went with it and was asked for anew. Change: what is being read is no silence. Tests of watches, wake, platform and relay pass (64).

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -181,6 +181,8 @@
 
 // Opened anew at once: the module would pause first, and what is missed binds meanwhile.
 void Platform::silent(const std::shared_ptr<Query>& query) {
+  // It is not the watch that is slow: what it told is still being read.
+  if (query->reader || query->list) return guard(query);
   // What was written is told, though it comes to be read in the very moment, or after this process stood
   // still.
   error_code bad;
