A late connection tells its endpoint the time that is left, and begins no call behind it

A connection that comes up a second late told the endpoint the whole time all the same, so that it went on working, and holding a slot, for a caller that had given up. Two events crossed besides: where the connection comes up in the moment in which the time is up, or after the process stood still, the call was still written.

Change: the time told is what is left when the first byte goes; a message whose time is up by then ends as not connected, as its timer would have had it, and nothing of it is written.

The same moment of both is by reading.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -182,16 +182,20 @@
   // Guards against an effect twice: the connection may have come up late, and the destination have forgotten
   // a key.
   const Time now = steady_now();
-  for (std::size_t i = 0; i < call->messages.size(); i++)
-    if (!call->over[i] && call->messages[i].begin_by > 0 && now > call->messages[i].begin_by)
-      end(call, i, Outcome::not_sent);
+  for (std::size_t i = 0; i < call->messages.size(); i++) {
+    const Outgoing& m = call->messages[i];
+    if (!call->over[i] && m.begin_by > 0 && now > m.begin_by) end(call, i, Outcome::not_sent);
+    // Its time was up in the same moment, or this process stood still.
+    if (!call->over[i] && now >= call->sent + m.timeout) end(call, i, Outcome::connect_failed);
+  }
   if (call->stage == Call::Stage::done) return;
   // Those that ended while the connection came up stay out of the call.
   std::vector<Outgoing> live;
   Time longest = 0;
   for (std::size_t i = 0; i < call->messages.size(); i++) {
     if (call->over[i]) continue;
-    longest = std::max(longest, call->messages[i].timeout);
+    // Its time runs since it was sent, also while its connection came up.
+    longest = std::max(longest, call->sent + call->messages[i].timeout - now);
     live.push_back(std::move(call->messages[i]));
   }
   // No message of a call outlives its first: an endpoint may take the first one's time for that of
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -90,6 +90,56 @@
   EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m2");
 }
 
+// Its connection comes up a second late: the endpoint is told what is left, not what there was when it was
+// sent. Guards against work that an endpoint ends for a caller that is gone.
+TEST_F(CallsCrossingTest, ALateConnectionIsToldTheTimeThatIsLeft) {
+  tcp::acceptor there(io);
+  there.open(tcp::v4());
+  there.bind({net::ip::make_address(own_address()), 0});
+  there.listen(0);
+  there.non_blocking(true);
+  const auto address = there.local_endpoint();
+  members = member("s-1", own_address() + ":" + std::to_string(address.port()));
+  start();
+  // No connection comes up there until the crowd is taken away.
+  std::vector<tcp::socket> crowd;
+  for (int i = 0; i < 3; i++) {
+    crowd.emplace_back(io);
+    crowd.back().async_connect(address, [](error_code) {});
+  }
+  EXPECT_EQ(hand_in("m1", kSafe), 202u);
+  const auto taken_on = std::chrono::steady_clock::now();
+  wait_for([&] { return std::chrono::steady_clock::now() - taken_on > std::chrono::milliseconds(300); },
+           "the first try for its connection is over");
+  for (auto& one : crowd) one.close();
+  std::string got;
+  tcp::socket call(io);
+  bool open = false, ended = false;
+  // What has come by now.
+  const auto look = [&] {
+    error_code bad;
+    if (!open) open = !there.accept(call, bad);
+    for (char bytes[512]; open && !ended;) {
+      call.non_blocking(true);
+      const auto size = call.read_some(net::buffer(bytes), bad);
+      if (bad == net::error::would_block) return;
+      got.append(bytes, size);
+      ended = bad && !got.empty();
+      if (!bad || ended) continue;
+      call = tcp::socket(io);  // one of the crowd
+      open = !there.accept(call, bad);
+    }
+  };
+  wait_for([&] { return look(), got.find("hello") != std::string::npos; }, "the call");
+  const auto begun = std::chrono::steady_clock::now();
+  const std::string name = "X-Deadline: ";
+  const auto told = std::chrono::microseconds(std::stol(got.substr(got.find(name) + name.size())));
+  wait_for([&] { return look(), ended; }, "the relay gives it up");
+  const auto waited = std::chrono::steady_clock::now() - begun;
+  EXPECT_GT(waited + std::chrono::milliseconds(400), told);
+  EXPECT_GT(begun - taken_on, std::chrono::milliseconds(700)) << "it came up late";
+}
+
 class KeyWindowTest : public CallsCrossingTest {
  protected:
   std::string settings() override {
