Test: a stop before the first list, also behind a SIGHUP that moves discovery, ends clean

Nothing was wrong: the test stays as the proof, on real sockets, with discovery that takes the call and says nothing. The process ends with status 0, nothing is called, and the next life delivers what was taken on, once.

--- a/tests/crossings/restart_test.cpp
+++ b/tests/crossings/restart_test.cpp
@@ -78,5 +78,35 @@
   EXPECT_EQ(finals, "");
 }
 
+// Discovery has taken the calls for its list and says nothing: a stop in between ends clean and in time, and
+// what was taken on meanwhile is the next life's. The same right behind a SIGHUP that moves discovery.
+class EarlyStopTest : public RestartTest, public ::testing::WithParamInterface<bool> {};
+TEST_P(EarlyStopTest, AStopBeforeTheFirstListLeavesNothingBehind) {
+  const bool moved = GetParam();
+  Server other(io, stay_silent);
+  bool asked = false;
+  platform.on_request([&](const Got& g) {
+    if (g.request.method() == http::verb::post) return on_platform(g);
+    asked = true;
+  });
+  members = member("s-1", endpoint.address(), "draining") + "," +
+            R"({"name":"s-9","address":"127.0.0.1:9","zone":"a","type":"small","group":8,"status":"ready"})";
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe, "hello", "24000m"), 202u);
+  wait_for([&] { return asked; }, "the list is asked for");
+  if (moved) reload(config(other.address()));
+  if (moved) wait_for([&] { return !other.got.empty(); }, "it is asked for at the new address");
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_TRUE(endpoint.got.empty());
+  members = member("s-1", endpoint.address());
+  platform.on_request([this](const Got& g) { on_platform(g); });
+  start();
+  wait_for([&] { return !endpoint.got.empty() || !finals.empty(); }, "its call");
+  EXPECT_EQ(called(), std::set<std::string>{"m1"});
+  EXPECT_EQ(finals, "");
+}
+INSTANTIATE_TEST_SUITE_P(Moved, EarlyStopTest, ::testing::Bool());
+
 }  // namespace
 }  // namespace heronvane::testing
