A stray answer on the kept connection for notices does not pass for the next one

Seen by reading Platform::post: it wrote on the kept connection without a look, so that an answer which already lay there was read as the answer to notices just written; with 204 they counted as told, whatever the platform said of them, and the messages were lost. Endpoints' connections had that look (Calls::begin); notices had none.

Change: a kept connection that holds anything is let go, and the notices go over a new one. One that the platform has closed was and is found by its read, and they go again at once.

Measured: ClosingTest.AStrayAnswerIsNoneForTheNextNotices (real sockets) waits 30 s in vain before, passes in 76 ms now. What comes between the look and the write is not covered, as for calls (docs/design/crossings.md).

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -362,10 +362,14 @@
       read(post);
     });
   };
-  if (kept_) {
-    post->socket = std::move(kept_);
-    kept_.reset();
-    return talk({});
+  if (const auto socket = std::exchange(kept_, nullptr)) {
+    // What lies in it now is no answer to what is not asked yet: it would tell that these notices were taken.
+    error_code bad;
+    if (socket->available(bad) == 0 && !bad) {
+      post->socket = socket;
+      return talk({});
+    }
+    socket->close(bad);
   }
   post->fresh = true;
   post->socket = std::make_shared<tcp::socket>(io_);
--- a/tests/crossings/closing_test.cpp
+++ b/tests/crossings/closing_test.cpp
@@ -140,5 +140,30 @@
   EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
 }
 
+// What the platform sent behind an answer is none for the next notices, which it refuses here at first: they
+// are told again until it has them.
+TEST_F(ClosingTest, AStrayAnswerIsNoneForTheNextNotices) {
+  endpoint.on_request([](const Got& g) { g.session->close(); });
+  std::shared_ptr<Session> first;
+  int refused = 0;
+  platform.on_request([&](const Got& g) {
+    if (g.request.method() != http::verb::post) return on_platform(g);
+    if (!first) {
+      first = g.session;
+      return first->answer(204);
+    }
+    if (refused++ == 0) return g.session->answer(503);
+    on_platform(g);
+  });
+  start();
+  EXPECT_EQ(hand_in("m1", "pay-and-order"), 202u);
+  wait_for([&] { return first != nullptr; }, "the first notice");
+  for (int i = 0; i < 2; i++) EXPECT_EQ(health(), 200u);  // its answer is read before these
+  first->write("HTTP/1.1 204 No Content\r\n\r\n");
+  EXPECT_EQ(hand_in("m2", "pay-and-order"), 202u);
+  wait_for([&] { return !finals.empty(); }, "the second notice is told until it is taken");
+  EXPECT_EQ(finals, "{\"id\":\"m2\",\"status\":\"undeliverable\"}\n");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
