Module: an owed message's moment is its try, not its turn

Need: "turn" is already when a key lets a message of its line go (State::turn); one word had two meanings in one file.

Change: try_at, try_comes, kTryWithin, own_try, and the tests' names with them. Nothing else.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -81,7 +81,7 @@
 constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
 // List and buffer.
 constexpr double kOwedFirst = 0x1p20;  // urgency of what an earlier life left untried: before all others
-constexpr double kTurnWithin = 0.9;    // of what it has left: when it is tried at the latest, if need be
+constexpr double kTryWithin = 0.9;     // of what it has left: when it is tried at the latest, if need be
 constexpr double kLeastLeft = 0.05;    // of the shortest aim: with less time left, nothing is sent any more
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
@@ -702,15 +702,13 @@
   // Whether the share that is let through keeps it back. An owed message's one try comes at a moment drawn
   // evenly from what it has left: the shares of hundreds of relays that came back together are far below one
   // call each in its time, while what they have to try is bounded by what they held.
-  bool turn_comes(Message& m, const Target& t, Gate& gate) {
+  bool try_comes(Message& m, const Target& t, Gate& gate) {
     const double share = let_through(t);
     if (share >= 1 || serves_us(t)) return true;
-    if (m.turn_at == kNever)
-      m.turn_at = now + micros(kTurnWithin * uniform() * seconds(latest_send(m) - now));
-    if (now >= m.turn_at) return true;
+    if (m.try_at == kNever) m.try_at = now + micros(kTryWithin * uniform() * seconds(latest_send(m) - now));
+    if (now >= m.try_at) return true;
     gate.own = true;
-    gate.when =
-        std::min({gate.when, m.turn_at, t.let_at + micros(-std::log(t.let_through) / kPaceRaise) + 1});
+    gate.when = std::min({gate.when, m.try_at, t.let_at + micros(-std::log(t.let_through) / kPaceRaise) + 1});
     return false;
   }
   // Beyond its share a tenant's messages are worth little; the share is split over the relays.
@@ -881,8 +879,8 @@
     const bool keyed_by_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone;
     if (keyed_by_zone && m.may_ran_zone && e.info.zone != *m.may_ran_zone) return false;
     Target& t = target_of(e);
-    const bool by_turn = m.owed && !perhaps_shut(t);  // else by the share that is let through
-    const Time held = by_turn ? t.wait_until : std::max(t.wait_until, t.hold_until);
+    const bool own_try = m.owed && !perhaps_shut(t);  // else by the share that is let through
+    const Time held = own_try ? t.wait_until : std::max(t.wait_until, t.hold_until);
     if (held > now) return when = std::min(when, held), false;
     if (room_in_call(e)) return true;
     if (calls.size() >= static_cast<std::size_t>(set.slots)) return false;
@@ -895,7 +893,7 @@
       return gate.own = true, when = std::min(when, m.aim), false;
     }
     if (static_cast<int>(e.calls.size()) >= call_limit(e)) return gate.trial |= on_trial(e), false;
-    return !by_turn || e.health != Health::open || turn_comes(m, t, gate);
+    return !own_try || e.health != Health::open || try_comes(m, t, gate);
   }
   Waiting::LaneKey lane_of(const Message& m) const {
     const bool one_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone && m.may_ran_zone;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -114,7 +114,7 @@
   std::string key;
   int sends = 0, gave_up = -1;       // attempts made; the last one that was cancelled
   bool owed = false;                 // of an earlier life, and no endpoint reached yet
-  Time turn_at = kNever;             // when it goes then, whatever share is let through; kNever: not drawn
+  Time try_at = kNever;              // when it goes then, whatever share is let through; kNever: not drawn
   std::map<int, std::uint64_t> out;  // attempt to call
   std::optional<int> may_ran_zone;   // where the first attempt that may have run was made
   Time may_ran_sent = 0;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -720,12 +720,12 @@
 
 // Twenty destinations of which little is let through, a message for each that an earlier life left untried:
 // what became of them in 5 s, over 20 seeds.
-struct Turns {
+struct Tries {
   std::size_t sent = 0;
   int by_second[5] = {};
 };
-Turns turns(int refusals, Time wait = 0) {
-  Turns found;
+Tries tries(int refusals, Time wait = 0) {
+  Tries found;
   for (std::uint64_t seed = 1; seed <= 20; seed++) {
     auto s = plain();
     s.relays = 300;
@@ -758,17 +758,17 @@
 }
 // Guards against a restart that gives its backlog up with no call: the share that is let through is the
 // whole fleet's, and far below one call of each relay that came back. And against a stampede of them.
-TEST(Recovery, WhatIsUntriedGetsOneTurnSpreadOverItsTime) {
-  const auto found = turns(0);
+TEST(Recovery, WhatIsUntriedGetsOneTrySpreadOverItsTime) {
+  const auto found = tries(0);
   EXPECT_EQ(found.sent, 400u);
   for (const int sent : found.by_second) {
     EXPECT_GE(sent, 20);
     EXPECT_LE(sent, 130);
   }
 }
-TEST(Recovery, NoTurnComesWhereItIsPerhapsShutOrToldToWait) {
-  EXPECT_LT(turns(2).sent, 100u);
-  const auto waiting = turns(0, 3 * kS);
+TEST(Recovery, NoTryIsForcedWhereItIsPerhapsShutOrToldToWait) {
+  EXPECT_LT(tries(2).sent, 100u);
+  const auto waiting = tries(0, 3 * kS);
   EXPECT_EQ(waiting.by_second[0] + waiting.by_second[1] + waiting.by_second[2], 0);
   EXPECT_EQ(waiting.sent, 400u);
 }
