Tests: one listener and one crowd for calls whose connections come up late

Need: two tests built the same listener with a full queue, line by line, and only one of them knew that a relay started behind the crowd inherits it.

Change: bare_endpoint() and crowd_at() of their fixture, with that told. No expectation changes.

--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -20,6 +20,26 @@
     }
     return ids;
   }
+  // The endpoint s-1 as nothing but a listener, whose queue holds no more than one connection.
+  tcp::acceptor bare_endpoint() {
+    tcp::acceptor there(io);
+    there.open(tcp::v4());
+    there.bind({net::ip::make_address(own_address()), 0});
+    there.listen(0);
+    there.non_blocking(true);
+    members = member("s-1", own_address() + ":" + std::to_string(there.local_endpoint().port()));
+    return there;
+  }
+  // Connections that fill its queue: no other comes up there until they are closed. Not before the relay is
+  // started, which would inherit them.
+  std::vector<tcp::socket> crowd_at(const tcp::acceptor& there) {
+    std::vector<tcp::socket> crowd;
+    for (int i = 0; i < 3; i++) {
+      crowd.emplace_back(io);
+      crowd.back().async_connect(there.local_endpoint(), [](error_code) {});
+    }
+    return crowd;
+  }
   // Tells a wait on the first call, so that all that is handed in until its end goes in one bundle.
   std::shared_ptr<Session> bundle_of(const std::vector<std::pair<std::string, std::string>>& messages) {
     std::shared_ptr<Session> session;
@@ -93,20 +113,10 @@
 // Its connection comes up a second late: the endpoint is told what is left, not what there was when it was
 // sent. Guards against work that an endpoint ends for a caller that is gone.
 TEST_F(CallsCrossingTest, ALateConnectionIsToldTheTimeThatIsLeft) {
-  tcp::acceptor there(io);
-  there.open(tcp::v4());
-  there.bind({net::ip::make_address(own_address()), 0});
-  there.listen(0);
-  there.non_blocking(true);
-  const auto address = there.local_endpoint();
-  members = member("s-1", own_address() + ":" + std::to_string(address.port()));
+  tcp::acceptor there = bare_endpoint();
   start();
   // No connection comes up there until the crowd is taken away.
-  std::vector<tcp::socket> crowd;
-  for (int i = 0; i < 3; i++) {
-    crowd.emplace_back(io);
-    crowd.back().async_connect(address, [](error_code) {});
-  }
+  auto crowd = crowd_at(there);
   EXPECT_EQ(hand_in("m1", kSafe), 202u);
   const auto taken_on = std::chrono::steady_clock::now();
   wait_for([&] { return std::chrono::steady_clock::now() - taken_on > std::chrono::milliseconds(300); },
@@ -152,13 +162,7 @@
 // The call that may have run is repeated in time, but its connection comes up late: by then the destination
 // may have forgotten the key. Nothing is written on it.
 TEST_F(KeyWindowTest, ACallWhoseConnectionComesUpBehindTheWindowIsNotMade) {
-  tcp::acceptor there(io);
-  there.open(tcp::v4());
-  there.bind({net::ip::make_address(own_address()), 0});
-  there.listen(0);
-  there.non_blocking(true);
-  const auto address = there.local_endpoint();
-  members = member("s-1", own_address() + ":" + std::to_string(address.port()));
+  tcp::acceptor there = bare_endpoint();
   start();
   EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
   tcp::socket first(io);
@@ -171,11 +175,7 @@
   std::string got;
   net::read_until(first, net::dynamic_buffer(got), "hello");
   // From now on no connection comes up there, until the crowd is taken away.
-  std::vector<tcp::socket> crowd;
-  for (int i = 0; i < 3; i++) {
-    crowd.emplace_back(io);
-    crowd.back().async_connect(address, [](error_code) {});
-  }
+  auto crowd = crowd_at(there);
   first.set_option(net::socket_base::linger(true, 0));
   first.close();
   const auto reset = std::chrono::steady_clock::now();
