Test of calls within the descriptors counts each connection once

The relay's bound was not broken: /proc/net/tcp is read in pieces, by places in a table that other tests change meanwhile, and tells an entry again.

Change: an inode counts once. A connection that is closed between both looks has no inode in the second and does not count, one that is opened between them is not in the first, so the count is never over what was open at the first.

--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -782,7 +782,8 @@
       std::string number, local, remote, state, queues, timer, retries, user, timeout, inode;
       fields >> number >> local >> remote >> state >> queues >> timer >> retries >> user >> timeout >> inode;
       constexpr const char* kListens = "0A";
-      if (state == kListens || own.count("socket:[" + inode + "]") == 0) continue;
+      // Each once: the kernel tells one again where its table changes while it is read.
+      if (state == kListens || own.erase("socket:[" + inode + "]") == 0) continue;
       local.ends_with(listening) ? found.clients++ : found.others++;
     }
     return found;
