--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -67,13 +67,9 @@
 
   std::unique_ptr<Peers> hear_peers();
   std::unique_ptr<store::SyncThread> sync_thread();
-  void recover();
-  bool adopt(MessageId id, const Held& held);
   void tell_listed(const std::vector<cedarplank::Endpoint>& endpoints);
   void tell_next_listed();
-  void recall(const std::vector<cedarplank::Endpoint>& endpoints);
   bool keep(const std::string& key, const std::string& value);
-  void remember_targets();
   void arrive(Message message, Time left, Reply reply);
   void ended(const cedarplank::event::AttemptEnded& e);
   void listed(MemberList list);
@@ -104,11 +100,18 @@
   void arm_timers();
   void hold_back(const EndpointId& endpoint);
   void compact();
-  void check_drained();
 #ifdef HERONVANE_FAIL_POINTS
   void tell_late(MessageId id, const Ending& ending);
 #endif
 
+  // relay_lives.cpp, with stop()
+  void without_copies();
+  void recover();
+  bool adopt(MessageId id, const Held& held);
+  void recall(const std::vector<cedarplank::Endpoint>& endpoints);
+  void remember_targets();
+  void check_drained();
+
   // relay_fleet.cpp
   void start_drained();
   void change_drain(const DrainState& to, std::function<void(bool kept)> done);
@@ -126,7 +129,6 @@
 
   // relay_copies.cpp, or relay_no_copies.cpp in a build without them
   std::unique_ptr<LogCopies> open_copies();
-  void without_copies();
   void disown();
   void taken_over(MessageId from, MessageId to);
   // What is handed in now can be kept as the settings ask.
