--- a/tests/store/tool_test.cpp
+++ b/tests/store/tool_test.cpp
@@ -497,6 +497,7 @@
     const std::lock_guard lock(mutex);
     return std::pair(held, over);
   };
+  while (commits == 0 && !fault) ::usleep(100);  // until then it is no folder of a store
   for (int round = 0; round < 24; round++) {
     const auto before = sets();
     const std::string to = root / ("snapshot" + std::to_string(round));
--- a/tools/store/snapshot.cpp
+++ b/tools/store/snapshot.cpp
@@ -24,7 +24,8 @@
   std::vector<std::string> names;
   for (const auto& f : fs::directory_iterator(folder)) {
     const std::string name = f.path().filename();
-    if (f.is_regular_file() && name.compare(0, 8, "segment-") == 0) names.push_back(name);
+    std::error_code gone;
+    if (f.is_regular_file(gone) && name.compare(0, 8, "segment-") == 0) names.push_back(name);
   }
   std::sort(names.begin(), names.end());
   return names;
@@ -35,13 +36,16 @@
   std::ifstream in(from, std::ios::binary);
   if (!in && !fs::exists(from)) return false;
   if (!in) throw StoreError(from.string() + ": can't be read");
+  std::error_code bad;
+  const std::uint64_t size = fs::file_size(from, bad);
+  if (bad == std::errc::no_such_file_or_directory) return false;  // it went since it was opened
+  if (bad) throw std::system_error(bad, from.string());
   FileId out = -1;
   const auto check = [&](std::error_code failed) {
     if (failed) throw std::system_error(failed, name);
   };
   check(to.open(name, Disk::Access::create, out));
   std::string piece(kPiece, '\0');
-  const std::uint64_t size = fs::file_size(from);
   for (std::uint64_t at = 0; at < size;) {
     in.read(piece.data(), static_cast<std::streamsize>(std::min<std::uint64_t>(kPiece, size - at)));
     const auto got = static_cast<std::size_t>(in.gcount());
