Tests: what is ready in one turn of the loop, since the process stood still

Change: the relay is stopped (SIGSTOP), what is to cross is made ready, and it goes on: both events are in one turn. Not forced: the 60 s of an idle connection.

--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -150,6 +150,45 @@
   EXPECT_GT(begun - taken_on, std::chrono::milliseconds(700)) << "it came up late";
 }
 
+// Its connection comes up, and its time is up, while the relay stands still: whichever it hears of first,
+// nothing is written.
+TEST_F(CallsCrossingTest, AConnectionThatComesUpInTheMomentTheTimeIsUpIsNotUsed) {
+  tcp::acceptor there = bare_endpoint();
+  start();
+  auto crowd = crowd_at(there);
+  EXPECT_EQ(hand_in("m1", kSafe, "hello", "1000m"), 202u);
+  std::vector<tcp::socket> accepted;
+  // Those of the crowd go; the relay's comes up with its second try, a second after the first.
+  const auto accept = [&] {
+    error_code bad;
+    for (tcp::socket next(io); !there.accept(next, bad); next = tcp::socket(io))
+      accepted.push_back(std::move(next));
+  };
+  const auto taken_on = std::chrono::steady_clock::now();
+  wait_for([&] { return std::chrono::steady_clock::now() - taken_on > std::chrono::milliseconds(300); },
+           "the first try for its connection is over");
+  for (auto& one : crowd) one.close();
+  accept();
+  stop_for(std::chrono::milliseconds(1100), accept);
+  std::string late;
+  wait_for([&] { return !finals.empty(); }, "its end");
+  accept();
+  wait_for(
+      [&] {
+        // Until the other side of each is gone.
+        return std::all_of(accepted.begin(), accepted.end(), [&](tcp::socket& one) {
+          char bytes[512];
+          error_code end;
+          one.non_blocking(true);
+          late.append(bytes, one.read_some(net::buffer(bytes), end));
+          return end && end != net::error::would_block;
+        });
+      },
+      "all connections end");
+  EXPECT_EQ(late, "");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+}
+
 class KeyWindowTest : public CallsCrossingTest {
  protected:
   std::string settings() override {
--- a/tests/crossings/restart_test.cpp
+++ b/tests/crossings/restart_test.cpp
@@ -1,4 +1,6 @@
 // A restart and what it finds: messages that an earlier life took on and nobody tried yet.
+#include <algorithm>
+
 #include "core/target_memory.hpp"
 #include "relay_harness.hpp"
 #include "store/disk.hpp"
@@ -78,6 +80,43 @@
   EXPECT_EQ(finals, "");
 }
 
+// All ends that fell due while no relay ran are told within 1.5 s of readiness, with no call.
+TEST_F(RestartTest, WhatFellDueMeanwhileIsToldAtOnce) {
+  constexpr std::ptrdiff_t kMessages = 30;
+  const auto taken_on = std::chrono::steady_clock::now();
+  leave_untried(kMessages, kSafe, "3000m");
+  wait_for([&] { return std::chrono::steady_clock::now() - taken_on > std::chrono::milliseconds(3500); },
+           "their time is over");
+  ASSERT_EQ(finals, "");
+  start();
+  const auto ready = std::chrono::steady_clock::now();
+  wait_for([&] { return std::count(finals.begin(), finals.end(), '\n') == kMessages; }, "all ends");
+  EXPECT_LT(std::chrono::steady_clock::now() - ready, std::chrono::milliseconds(1500));
+  EXPECT_TRUE(endpoint.got.empty());
+}
+
+// A list that is read in slices, thousands of entries long, is on its way or being read when the stop comes.
+TEST_F(RestartTest, AStopBesideAListInSlicesLeavesNothingBehind) {
+  leave_untried(3, kUnsafe, "24000m");
+  members = member("s-1", endpoint.address(), "draining") + "," +
+            R"({"name":"s-9","address":"127.0.0.1:9","zone":"a","type":"small","group":8,"status":"ready"})";
+  const std::string few = members;
+  for (int i = 0; i < 20'000; i++)
+    members += "," + member("n-" + std::to_string(i), "127.0.0.1:9", "draining");
+  const std::string many = std::exchange(members, few);
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  tell(list(many));
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_NE(logged().find("stopped: 3 messages left"), std::string::npos) << logged();
+  members = member("s-1", endpoint.address());
+  start();
+  wait_for([&] { return called().size() == 3 || !finals.empty(); }, "their calls");
+  EXPECT_EQ(endpoint.got.size(), 3u);
+  EXPECT_EQ(finals, "");
+}
+
 // Discovery has taken the calls for its list and says nothing: a stop in between ends clean and in time, and
 // what was taken on meanwhile is the next life's. The same right behind a SIGHUP that moves discovery.
 class EarlyStopTest : public RestartTest, public ::testing::WithParamInterface<bool> {};
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -279,14 +279,6 @@
       if (answers_lists) g.session->answer(200, "", list(members));
     });
   }
-  template <class Meanwhile>
-  void stop_for(milliseconds time, Meanwhile meanwhile) {
-    ::kill(child, SIGSTOP);
-    const auto until = steady_clock::now() + time;
-    wait_for([&] { return steady_clock::now() >= until; }, "the stop's time is over");
-    meanwhile();
-    ::kill(child, SIGCONT);
-  }
   std::string both(const std::string& status) {
     return member("s-1", endpoint.address(), status) + "," + member("s-2", other.address());
   }
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -251,6 +251,16 @@
     ::kill(child, SIGKILL);
     wait_exit();
   }
+  // The relay stands still for that time; what happens `meanwhile`, at its end, is ready in one turn of its
+  // loop with all whose time was up.
+  template <class Meanwhile>
+  void stop_for(std::chrono::milliseconds time, Meanwhile meanwhile) {
+    ::kill(child, SIGSTOP);
+    const auto until = std::chrono::steady_clock::now() + time;
+    wait_for([&] { return std::chrono::steady_clock::now() >= until; }, "the stop's time is over");
+    meanwhile();
+    ::kill(child, SIGCONT);
+  }
   std::size_t descriptors() const {
     const std::filesystem::directory_iterator all("/proc/" + std::to_string(child) + "/fd");
     return static_cast<std::size_t>(std::distance(begin(all), end(all)));
