A start waits for what passes: a predecessor, an address, descriptors, a disk error

Seen: a supervisor starts the next process 12 ms before it ends the one before; the next one found the folder locked (relay/store/disk.cpp: FolderInUse), which main.cpp took, like every exception of a start, for the end: status 1, twice, and nobody served for a second after the predecessor had gone. Checked: the failing test over two real processes; the listener and the sockets of a start failed alike once the folder was passed by. Ruled out: a lock that outlives its process. Class: a state that passes is taken for one that stays.

relay/startup: one sequence of named steps (configuration, folder, listener, recovery, loop); each failure is a StartError, passing or lasting by its errno. Passing ones are tried again each 50 ms (recovery: 250 ms) with nothing held between two tries, told at once and each 5 s with the process that has the folder or the address, for [relay] start_timeout (60 s), then status 1. SIGTERM ends the waiting with status 0; SIGHUP counts for the next try. Signals are held back until the loop listens. A configuration that can't be opened for a moment at SIGHUP is read again. Files are read by system calls that tell their errors. Status: start_waited_ms, start_waited_for.

Peers' address in use is told as peer_listen.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -4,14 +4,12 @@
 #include <rapidjson/error/en.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
 #include <cstdlib>
-#include <cstring>
-#include <fstream>
-#include <iterator>
 #include <stdexcept>
 
+#include "text_file.hpp"
+
 namespace heronvane {
 
 using namespace cedarplank::adapter;
@@ -99,12 +97,10 @@
   if (places.config.empty())
     throw std::runtime_error(
         "no configuration: name its file by --config FILE or LB_CONFIG; --help lists all options");
-  std::ifstream in(places.config, std::ios::binary);
-  if (!in)
-    throw std::runtime_error("configuration: can't read " + places.config + ": " + std::strerror(errno));
+  const std::string text = read_text_file(places.config, "configuration");
   Config c = [&] {
     try {
-      return read_config({std::istreambuf_iterator<char>(in), {}});
+      return read_config(text);
     } catch (const std::exception& e) {
       throw std::runtime_error(places.config + ": " + e.what());
     }
--- a/relay/core/status.cpp
+++ b/relay/core/status.cpp
@@ -114,6 +114,7 @@
   field(w, "name", s.name), field(w, "run", s.run), field(w, "pid", s.pid), field(w, "version", s.version);
   field(w, "generation", s.generation), field(w, "started_ms", ms(s.started));
   field(w, "uptime_ms", ms(s.uptime));
+  field(w, "start_waited_ms", ms(s.start_waited)), field(w, "start_waited_for", s.start_waited_for);
   field(w, "ready", s.ready), field(w, "draining", s.draining), field(w, "stopping", s.stopping);
   field(w, "fence", s.fence), field(w, "trouble", s.trouble);
   write_held(w, s);
--- a/relay/fronts/admin.cpp
+++ b/relay/fronts/admin.cpp
@@ -15,6 +15,7 @@
 
 #include "core/alarm.hpp"
 #include "framing.hpp"
+#include "startup/start_error.hpp"
 
 namespace heronvane {
 
@@ -61,7 +62,8 @@
     const OwnerOnly owner_only;
     return local::acceptor(io, local::endpoint(path));
   } catch (const boost::system::system_error& e) {
-    throw std::runtime_error("admin socket: " + path + ": " + e.code().message());
+    throw startup::StartError(startup::Step::listener, startup::persistence_of(e.code()),
+                              "admin socket: " + path + ": " + e.code().message());
   }
 }
 
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,36 +1,22 @@
 // heronvane: one relay on real sockets. Its configuration and the folder that lasts are named by options, or
 // by LB_CONFIG and LB_STATE. SIGTERM and SIGINT end it, SIGHUP has the configuration read again.
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <cstdint>
 #include <cstdio>
 #include <exception>
 #include <functional>
 #include <random>
-#include <stdexcept>
+#include <string>
+#include <utility>
 
 #include "command_line.hpp"
 #include "config.hpp"
 #include "log.hpp"
-#include "relay.hpp"
+#include "startup/event_loop.hpp"
+#include "startup/startup.hpp"
 #include "version.hpp"
 
 namespace {
 
-// Less than this holds few messages, and much less than it none: that is told, for it looks like a relay that
-// is well.
-constexpr std::uint64_t kLittleDisk = 1'000'000;
-
-// A file that can't be read changes nothing.
-void reload(heronvane::Relay& relay, const heronvane::Places& places) {
-  try {
-    relay.reconfigure(heronvane::load_config(places));
-  } catch (const std::exception& e) {
-    heronvane::log(std::string("configuration: the old one stays: ") + e.what());
-  }
-}
-
 std::string drawn_run() {
   std::random_device random;
   char text[17];
@@ -39,34 +25,28 @@
 }
 
 int run(const heronvane::CommandLine& options, const heronvane::Places& places) {
-  boost::asio::io_context io(1);
-  heronvane::LostLines lost_lines(io);
-  // Before anything slow: a signal that comes while the store is read waits for the loop.
-  boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-  const heronvane::Config config = heronvane::load_config(places);
-  if (config.state_folder.empty())
-    throw std::runtime_error("no state folder: name it by --state FOLDER or LB_STATE");
-  if (config.disk_bytes < kLittleDisk)
-    heronvane::log("configuration: limits.disk_mb is below 1: messages may be refused for want of room");
+  const auto loop = heronvane::startup::make_event_loop();
+  if (!loop) return 0;
   heronvane::Relay::Start start;
   start.run = options.run.empty() ? drawn_run() : options.run;
   start.undrain = options.undrain;
   start.force_own = options.force_own;
-  start.drained = [&io] { io.stop(); };
-  heronvane::Relay relay(io, config, std::move(start));
-  ends.async_wait([&](boost::system::error_code bad, int) {
-    if (!bad) relay.stop([&io] { io.stop(); });
+  start.drained = [&io = loop->io] { io.stop(); };
+  heronvane::startup::Startup startup(loop->io, places, std::move(start));
+  loop->ends.async_wait([&](boost::system::error_code bad, int signal) {
+    if (!bad) startup.stop(signal == SIGTERM ? "SIGTERM" : "SIGINT");
   });
   const std::function<void()> await_reload = [&] {
-    reloads.async_wait([&](boost::system::error_code bad, int) {
+    loop->reloads.async_wait([&](boost::system::error_code bad, int) {
       if (bad) return;
-      reload(relay, places);
+      startup.reload();
       await_reload();
     });
   };
   await_reload();
-  io.run();
-  return 0;
+  startup.begin();
+  loop->io.run();
+  return startup.status();
 }
 
 }  // namespace
--- a/relay/operator_settings.cpp
+++ b/relay/operator_settings.cpp
@@ -1,9 +1,9 @@
 #include "operator_settings.hpp"
 
-#include <fstream>
-#include <iterator>
 #include <stdexcept>
 
+#include "text_file.hpp"
+
 #ifdef HERONVANE_SETTINGS_FILE
 #define TOML_EXCEPTIONS 1
 #include <toml++/toml.h>
@@ -178,6 +178,7 @@
     } else if (name == "relay") {
       section.flag("wake", s.relay.wake);
       section.flag("early_rounds", s.relay.early_rounds);
+      section.seconds("start_timeout", 86'400'000'000, s.relay.start_timeout);
     } else {
       section.word("durability",
                    {{"process", store::Durability::process}, {"machine", store::Durability::machine}},
@@ -199,9 +200,7 @@
 
 OperatorSettings load_operator_settings(const std::string& file) {
   if (file.empty()) return {};
-  std::ifstream in(file, std::ios::binary);
-  if (!in) throw std::runtime_error("settings: can't read " + file);
-  return read_operator_settings({std::istreambuf_iterator<char>(in), {}}, file);
+  return read_operator_settings(read_text_file(file, "settings"), file);
 }
 
 }  // namespace heronvane
--- a/relay/operator_settings.hpp
+++ b/relay/operator_settings.hpp
@@ -24,8 +24,9 @@
   } admin;
   struct Relay {
     // True where a file is read that does not say:
-    bool wake = false;          // look at the list anew after a stop
-    bool early_rounds = false;  // what can be sent need not wait for the settings' tick
+    bool wake = false;                // look at the list anew after a stop
+    bool early_rounds = false;        // what can be sent need not wait for the settings' tick
+    Time start_timeout = 60'000'000;  // a start that waits for what passes ends with status 1 after this
   } relay;
   copies::Settings copies;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -5,6 +5,7 @@
 
 #include "fail_points.hpp"
 #include "log.hpp"
+#include "startup/start_error.hpp"
 
 namespace heronvane {
 
@@ -68,12 +69,21 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
+std::unique_ptr<store::Disk> locked_folder(const std::string& path) {
+  try {
+    return store::open_folder(path);
+  } catch (const std::exception& error) {
+    throw startup::as_start_error(error, startup::Step::folder);
+  }
+}
+
 // Bound and listening: who connects from now on waits until the intake accepts.
 net::ip::tcp::acceptor listening(net::io_context& io, const net::ip::tcp::endpoint& address) {
   try {
     return net::ip::tcp::acceptor(io, address);
   } catch (const boost::system::system_error& e) {
-    throw std::runtime_error("listen: " + text_of(address) + ": " + e.code().message());
+    throw startup::StartError(startup::Step::listener, startup::persistence_of(e.code()),
+                              "listen: " + text_of(address) + ": " + e.code().message());
   }
 }
 
@@ -83,7 +93,7 @@
     : io_(io),
       config_(config),
       start_(std::move(start)),
-      folder_(store::open_folder(config.state_folder)),
+      folder_(locked_folder(config.state_folder)),
       listener_(listening(io, config.listen)),
       peers_(hear_peers()),
       admin_(open_admin()),
@@ -148,12 +158,20 @@
 std::unique_ptr<Peers> Relay::hear_peers() {
   const auto& s = config_.settings;
   if (!s.peers || !config_.peer_listen) return nullptr;
-  return std::make_unique<Peers>(io_, *config_.peer_listen, config_.peers, config_.peers_all, s.rank,
-                                 [this](int from, std::string body) {
-                                   // They would pile up while the module is not asked; any may be lost.
-                                   if (unwritten_ || frozen_) return;
-                                   happened(event::PeerNote{from, std::move(body)});
-                                 });
+  const auto heard = [this](int from, std::string body) {
+    // They would pile up while the module is not asked; any may be lost.
+    if (unwritten_ || frozen_) return;
+    happened(event::PeerNote{from, std::move(body)});
+  };
+  try {
+    return std::make_unique<Peers>(io_, *config_.peer_listen, config_.peers, config_.peers_all, s.rank,
+                                   heard);
+  } catch (const boost::system::system_error& e) {
+    const auto& address = *config_.peer_listen;
+    throw startup::StartError(startup::Step::listener, startup::persistence_of(e.code()),
+                              "peer_listen: " + address.address().to_string() + ":" +
+                                  std::to_string(address.port()) + ": " + e.code().message());
+  }
 }
 
 // Syncs that are under way need the store's files.
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -41,13 +41,15 @@
 
 class Relay {
  public:
-  // Takes the folder and the addresses, then what an earlier life left; from then on clients are accepted.
-  // Throws where the folder or an address is in use; what is held was not touched then.
+  // Takes the folder and the addresses, then what an earlier process left; from then on clients are accepted.
+  // Throws startup::StartError where the folder or an address can't be had; what is held was not touched then.
   struct Start {
     std::string run;               // the id of this process's run
     std::optional<Fence> undrain;  // takes back a drain that is kept; the start fails under a lower fence
     bool force_own = false;  // with copies: what the folder holds is this relay's, its holders are not asked
     std::function<void()> drained;  // a drain is done and told: nothing is held or owed any more
+    Time waited = 0;                // how long the start was waiting before this try, in microseconds
+    std::string waited_for;         // what for; empty: it was not waiting
   };
   Relay(boost::asio::io_context& io, const Config& config, Start start);
   ~Relay();
--- a/relay/relay_admin.cpp
+++ b/relay/relay_admin.cpp
@@ -98,6 +98,7 @@
 
 Status Relay::status() const {
   Status s;
+  s.start_waited = start_.waited, s.start_waited_for = start_.waited_for;
   s.name = config_.name, s.run = start_.run, s.version = kVersion, s.trouble = store_.trouble();
   s.pid = ::getpid(), s.generation = generation_;
   s.started = started_, s.uptime = steady_now() - started_steady_;
--- a/relay/relay_fleet.cpp
+++ b/relay/relay_fleet.cpp
@@ -4,6 +4,7 @@
 
 #include "log.hpp"
 #include "relay.hpp"
+#include "startup/start_error.hpp"
 
 namespace heronvane {
 
@@ -27,7 +28,9 @@
                                ", the highest seen: a later operation has this relay");
     const DrainState to{*start_.undrain, std::nullopt};
     const bool kept = keep_drain(to, [this](const auto& key, const auto& v) { return store_.keep(key, v); });
-    if (!kept || !store_.commit()) throw std::runtime_error("--undrain: can't be kept: " + store_.trouble());
+    if (!kept || !store_.commit())
+      throw startup::StartError(startup::Step::recovery, startup::Persistence::passing,
+                                "--undrain: can't be kept: " + store_.trouble());
     drain_ = to;
   }
   if (!drain_.drain) return remove_drained(*folder_);
--- /dev/null
+++ b/relay/startup/event_loop.cpp
@@ -0,0 +1,68 @@
+#include "startup/event_loop.hpp"
+
+#include <csignal>
+#include <ctime>
+#include <exception>
+#include <string>
+
+#include "clock.hpp"
+#include "operator_settings.hpp"
+#include "startup/start_error.hpp"
+
+namespace heronvane::startup {
+namespace {
+
+constexpr auto kRetry = std::chrono::milliseconds(50);
+
+sigset_t end_signals() {
+  sigset_t signals;
+  ::sigemptyset(&signals);
+  ::sigaddset(&signals, SIGTERM);
+  ::sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+sigset_t all_signals() {
+  sigset_t signals = end_signals();
+  ::sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+}  // namespace
+
+HeldSignals::HeldSignals() {
+  const sigset_t signals = all_signals();
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+HeldSignals::~HeldSignals() {
+  const sigset_t signals = all_signals();
+  ::pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
+bool HeldSignals::end_asked_within(std::chrono::milliseconds time) const {
+  const sigset_t signals = end_signals();
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+  const timespec most{seconds.count(), std::chrono::nanoseconds(time - seconds).count()};
+  return ::sigtimedwait(&signals, nullptr, &most) > 0;
+}
+
+std::unique_ptr<EventLoop> make_event_loop() {
+  const HeldSignals held;
+  const Time begun = steady_now();
+  const Time timeout = OperatorSettings().relay.start_timeout;  // the operator's own is not read yet
+  bool told = false;
+  while (true) {
+    try {
+      return std::make_unique<EventLoop>();
+    } catch (const std::exception& error) {
+      const StartError why = as_start_error(error, Step::loop);
+      if (!why.passing() || steady_now() - begun >= timeout) throw why;
+      if (!told) log(std::string("waiting: event loop: ") + why.what());
+      told = true;
+    }
+    if (held.end_asked_within(kRetry)) return nullptr;
+  }
+}
+
+}  // namespace heronvane::startup
--- /dev/null
+++ b/relay/startup/event_loop.hpp
@@ -0,0 +1,37 @@
+// The event loop with the signals that the process listens to.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <memory>
+
+#include "log.hpp"
+
+namespace heronvane::startup {
+
+// Holds SIGTERM, SIGINT and SIGHUP back while it lives, so that none ends the process, or is lost, before the
+// loop listens to them.
+class HeldSignals {
+ public:
+  HeldSignals();
+  ~HeldSignals();
+  HeldSignals(const HeldSignals&) = delete;
+  HeldSignals& operator=(const HeldSignals&) = delete;
+
+  // Waits for so long, at most; true once a signal has come that asks for the process's end.
+  bool end_asked_within(std::chrono::milliseconds time) const;
+};
+
+struct EventLoop {
+  boost::asio::io_context io{1};
+  LostLines lost_lines{io};
+  boost::asio::signal_set ends{io, SIGTERM, SIGINT}, reloads{io, SIGHUP};
+};
+
+// Tries until the system has the descriptors for it. Null where the process was asked to end meanwhile.
+// Throws StartError where it takes longer than a start may, or can't be.
+std::unique_ptr<EventLoop> make_event_loop();
+
+}  // namespace heronvane::startup
--- /dev/null
+++ b/relay/startup/start_error.cpp
@@ -0,0 +1,91 @@
+#include "startup/start_error.hpp"
+
+#include <boost/system/system_error.hpp>
+#include <cerrno>
+#include <new>
+
+#include "store/disk.hpp"
+
+namespace heronvane::startup {
+
+std::string_view name_of(Step step) {
+  switch (step) {
+    case Step::configuration:
+      return "configuration";
+    case Step::folder:
+      return "folder";
+    case Step::listener:
+      return "listener";
+    case Step::recovery:
+      return "recovery";
+    case Step::loop:
+      return "loop";
+  }
+  return "";
+}
+
+namespace {
+
+Persistence persistence_of_errno(int number) {
+  switch (number) {
+    // No permission.
+    case EACCES:
+    case EPERM:
+    case EROFS:
+    // Names something that is not there, or is something else.
+    case ENOENT:
+    case ENOTDIR:
+    case EISDIR:
+    case ELOOP:
+    case ENAMETOOLONG:
+    case ENOTSOCK:
+    case ENXIO:
+    case ENODEV:
+    // Asks for what this system can't do.
+    case EINVAL:
+    case EAFNOSUPPORT:
+    case EPROTONOSUPPORT:
+    case EPROTOTYPE:
+    case ESOCKTNOSUPPORT:
+    case EOPNOTSUPP:
+    case ENOSYS:
+    // A slip in the program.
+    case EBADF:
+    case EFAULT:
+      return Persistence::lasting;
+    default:
+      return Persistence::passing;
+  }
+}
+
+}  // namespace
+
+Persistence persistence_of(const std::error_code& error) {
+  const auto& category = error.category();
+  const bool is_errno = category == std::generic_category() || category == std::system_category();
+  return is_errno ? persistence_of_errno(error.value()) : Persistence::lasting;
+}
+
+// Not by way of std::error_code: Boost 1.74 turns its system category into one that equals none of the
+// library's.
+Persistence persistence_of(const boost::system::error_code& error) {
+  const auto& category = error.category();
+  const bool is_errno =
+      category == boost::system::generic_category() || category == boost::system::system_category();
+  return is_errno ? persistence_of_errno(error.value()) : Persistence::lasting;
+}
+
+StartError as_start_error(const std::exception& error, Step step) {
+  if (const auto* const known = dynamic_cast<const StartError*>(&error)) return *known;
+  if (dynamic_cast<const store::FolderInUse*>(&error) != nullptr)
+    return {Step::folder, Persistence::passing, error.what()};
+  if (const auto* const system = dynamic_cast<const std::system_error*>(&error))
+    return {step, persistence_of(system->code()), error.what()};
+  if (const auto* const system = dynamic_cast<const boost::system::system_error*>(&error))
+    return {step, persistence_of(system->code()), error.what()};
+  if (dynamic_cast<const std::bad_alloc*>(&error) != nullptr)
+    return {step, Persistence::passing, "out of memory"};
+  return {step, Persistence::lasting, error.what()};
+}
+
+}  // namespace heronvane::startup
--- /dev/null
+++ b/relay/startup/start_error.hpp
@@ -0,0 +1,50 @@
+// Why a start did not succeed: at which step, and whether waiting helps.
+#pragma once
+
+#include <boost/system/error_code.hpp>
+#include <exception>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <system_error>
+
+namespace heronvane::startup {
+
+// The steps of a start, in their order.
+enum class Step {
+  configuration,  // the configuration and the operator's settings are read
+  folder,         // the state folder is opened and locked
+  listener,       // the addresses are bound
+  recovery,       // what an earlier process left is read and taken over
+  loop            // the event loop and its signals are set up
+};
+std::string_view name_of(Step step);
+
+// Whether a failure may be gone a moment later.
+enum class Persistence {
+  passing,  // the start is tried again: a folder or an address in use, descriptors short, a disk error
+  lasting   // the start ends: nothing but an operator can change it
+};
+
+// By the errno, of a system call made during a start. Errors that no page foretells count as passing: a start
+// that waits in vain ends with its time, one that gives up too soon leaves nobody to serve.
+Persistence persistence_of(const std::error_code& error);
+Persistence persistence_of(const boost::system::error_code& error);
+
+class StartError : public std::runtime_error {
+ public:
+  StartError(Step step, Persistence persistence, const std::string& what)
+      : std::runtime_error(what), step_(step), persistence_(persistence) {}
+
+  Step step() const { return step_; }
+  bool passing() const { return persistence_ == Persistence::passing; }
+
+ private:
+  Step step_;
+  Persistence persistence_;
+};
+
+// Any exception of a start as a StartError; `step` where the exception does not tell its own.
+StartError as_start_error(const std::exception& error, Step step);
+
+}  // namespace heronvane::startup
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -1,10 +1,17 @@
 // Starts of the real program under states that pass: a predecessor that has not ended, addresses in use,
 // system calls that fail for a while.
+#include <fcntl.h>
+#include <sys/file.h>
+
+#include <algorithm>
+#include <utility>
+
 #include "relay_harness.hpp"
 
 namespace heronvane::testing {
 namespace {
 
+const char* const kSafe = "load-status";
 const char* const kUnsafe = "pay-and-order";
 
 class StartTest : public RelayTest {
@@ -87,5 +94,124 @@
   }
 }
 
+// SIGTERM ends a start that waits, and that is no failure.
+TEST_F(StartTest, AWaitingStartEndsAtSigterm) {
+  start();
+  start_beside();
+  wait_logged("waiting: state folder");
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  child = std::exchange(predecessor, -1);
+  EXPECT_EQ(health(), 200u);
+}
+
+// SIGHUP does not end a start that waits; what was read by then counts.
+TEST_F(StartTest, AWaitingStartReadsItsConfigurationAgain) {
+  start();
+  start_beside();
+  wait_logged("waiting: state folder");
+  tcp::acceptor probe(io, {net::ip::make_address(own_address()), 0});
+  const auto first_port = std::exchange(port, probe.local_endpoint().port());
+  probe.close();
+  reload(config());
+  wait_logged("SIGHUP: reading the configuration again");
+  const auto new_port = std::exchange(port, first_port);
+  EXPECT_EQ(health(), 200u) << "the predecessor has its own";
+  ::kill(predecessor, SIGKILL);
+  ::waitpid(predecessor, nullptr, 0);
+  predecessor = -1;
+  port = new_port;
+  wait_for([&] { return health() == 200; }, "the successor is ready at its new address");
+}
+
+// Of several starts that wait one gets the folder, the others wait on.
+TEST_F(StartTest, OneOfSeveralWaitingStartsTakesOver) {
+  start();
+  start_beside();
+  wait_logged("waiting: state folder");
+  const pid_t second = std::exchange(child, -1);
+  spawn(config());
+  const pid_t third = child;
+  wait_for([&] { return std::filesystem::exists("/proc/" + std::to_string(third)); }, "the third runs");
+  ::kill(predecessor, SIGKILL);
+  ::waitpid(predecessor, nullptr, 0);
+  predecessor = second;
+  wait_for([&] { return health() == 200; }, "one of them is ready");
+  int status = 0;
+  EXPECT_FALSE(ended(second, status)) << "with status " << WEXITSTATUS(status);
+  EXPECT_FALSE(ended(third, status)) << "with status " << WEXITSTATUS(status);
+}
+
+// While the address is another's the folder is free between two tries, and nothing in it changes.
+TEST_F(StartTest, AStartThatWaitsForItsAddressLeavesTheFolderFree) {
+  members = member("s-1", endpoint.address());
+  {
+    tcp::acceptor other(io, {net::ip::make_address(own_address()), port});
+    ASSERT_EQ(::fcntl(other.native_handle(), F_SETFD, FD_CLOEXEC), 0);  // the program must not inherit it
+    spawn(config());
+    wait_logged("waiting: listen");
+    const int state = ::open((folder + "/state").c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    ASSERT_GE(state, 0);
+    wait_for([&] { return ::flock(state, LOCK_EX | LOCK_NB) == 0; }, "the folder's lock is free");
+    ::close(state);
+    EXPECT_TRUE(std::filesystem::is_empty(folder + "/state"));
+  }
+  wait_for([&] { return health() == 200; }, "the relay is ready");
+}
+
+// ---- System calls that fail for a while. ----
+// Descriptors for the event loop itself, a configuration that can't be opened, a folder that can't be read.
+TEST_F(StartTest, AStartWaitsOutSystemCallsThatFail) {
+  struct Fault {
+    const char *call, *error, *path;
+  };
+  for (const Fault fault :
+       {Fault{"epoll_create", "EMFILE", ""}, Fault{"pipe", "ENFILE", ""},
+        Fault{"open", "EMFILE", "config.json"}, Fault{"open", "EINTR", "config.json"},
+        Fault{"open", "ENFILE", "state"}, Fault{"flock", "ENOLCK", ""}, Fault{"bind", "EADDRINUSE", ""},
+        Fault{"listen", "EADDRINUSE", ""}, Fault{"epoll_ctl", "ENOMEM", ""}, Fault{"eventfd", "EMFILE", ""},
+        Fault{"timerfd_create", "EMFILE", ""}}) {
+    SCOPED_TRACE(std::string(fault.call) + " " + fault.error);
+    faults = "report = \"" + folder + "/given\"\n[[error]]\ncall = \"" + fault.call + "\"\nerrno = \"" +
+             fault.error + "\"\npath = \"" + fault.path + "\"\ntimes = 2\n";
+    start();
+    if (HasFailure()) return;
+    EXPECT_TRUE(std::filesystem::exists(folder + "/given")) << "the fault did not reach the program";
+    kill_relay();
+    std::filesystem::remove(folder + "/given");
+  }
+}
+
+// A disk that can't be read for a while: what the folder holds is recovered once it can be.
+TEST_F(StartTest, ARecoveryThatCannotReadWaits) {
+  endpoint.on_request(stay_silent);
+  members = member("s-1", endpoint.address());
+  start();
+  ASSERT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return calls_of("m1") == 1; }, "the first call");
+  kill_relay();
+  endpoint.on_request(answer_ok);
+  std::ofstream(folder + "/failing") << "x";
+  faults = "[[error]]\ncall = \"pread\"\nerrno = \"EIO\"\nwhile = \"" + folder + "/failing\"\n";
+  spawn(config());
+  wait_logged("step recovery");
+  std::filesystem::remove(folder + "/failing");
+  wait_for([&] { return calls_of("m1") == 2; }, "the call after the restart");
+}
+
+// A configuration that can't be opened for a moment at SIGHUP is read once it can be.
+TEST_F(StartTest, AReloadThatCannotOpenItsFileIsTriedAgain) {
+  faults = "[[error]]\ncall = \"open\"\nerrno = \"EMFILE\"\npath = \"config.json\"\nwhile = \"" + folder +
+           "/failing\"\n";
+  start();
+  std::ofstream(folder + "/failing") << "x";
+  Server other(io, [this](const Got& g) { on_platform(g); });
+  reload(config(other.address()));
+  wait_logged("the old one stays");
+  EXPECT_TRUE(other.got.empty());
+  std::filesystem::remove(folder + "/failing");
+  wait_for([&] { return !other.got.empty(); }, "the new discovery is asked");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
