The start of an endpoint is compared as the list tells it, not by the wall clock

Seen by reading: members.cpp turned since_ms into the steady clock by the wall clock of that moment, and directory.cpp compared the results with a second's slack: after a step of the wall clock each list told every endpoint anew to the module. Checked: the module reads nothing from it, so health and slow start never followed it. The value is kept and compared as told; the conversion and its slack go. Directory.AStartIsNewsAndTheSameStartIsNot passes.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -101,7 +101,9 @@
   int kind = 0;
   Listing listing = Listing::active;
   double weight = 1;
-  Time since = 0;  // when it was added; 0: long ago
+  // When it was added, as the list tells it: by the clock of who wrote the list, compared with nothing but
+  // what another list tells. 0: long ago.
+  Time since = 0;
 };
 
 enum class Health { open, closed, ramp };  // ramp: back after an outage, perhaps still cold
--- a/relay/core/directory.cpp
+++ b/relay/core/directory.cpp
@@ -13,12 +13,10 @@
 
 constexpr std::size_t kMostUnlisted = 10'000;  // destinations without endpoints that are remembered
 
-// Whether the module need not hear of it: the moment of its listing is reckoned anew from each list, by
-// clocks that differ a little.
+// Whether the module need not hear of it.
 bool same(const Endpoint& a, const Endpoint& b) {
-  constexpr cedarplank::Time kNear = 1'000'000;
   return a.destination == b.destination && a.zone == b.zone && a.kind == b.kind && a.listing == b.listing &&
-         a.weight == b.weight && (a.since == 0) == (b.since == 0) && std::abs(a.since - b.since) < kNear;
+         a.weight == b.weight && a.since == b.since;
 }
 
 }  // namespace
--- a/relay/members.cpp
+++ b/relay/members.cpp
@@ -2,8 +2,6 @@
 
 #include <charconv>
 
-#include "clock.hpp"
-
 namespace heronvane {
 
 using namespace cedarplank::adapter;
@@ -40,8 +38,7 @@
     m.endpoint.zone = position(names.zones, get(e, "zone", where, as_text, ""));
     m.endpoint.kind = position(names.kinds, get(e, "type", where, as_text, ""));
     m.endpoint.weight = get(e, "weight", where, as_number, 1.0);
-    const Time since = get(e, "since_ms", where, as_moment_ms, 0);
-    m.endpoint.since = since == 0 ? 0 : steady_now() - (wall_now() - since);
+    m.endpoint.since = get(e, "since_ms", where, as_moment_ms, 0);
     m.address = read_address(get(e, "address", where, as_text), where + ".address");
     list.members.push_back(std::move(m));
   }
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -35,6 +35,19 @@
   return t;
 }
 
+// The moment of a start is told by the clock of who wrote the list: it is compared as told, never with a
+// clock of this machine, which may be stepped.
+TEST(Directory, AStartIsNewsAndTheSameStartIsNot) {
+  Directory d;
+  auto first = member("a", 1);
+  first.endpoint.since = 1'796'203'325'000'000;
+  EXPECT_EQ(take(d, {first}, true).changes.endpoints.size(), 1u);
+  EXPECT_TRUE(take(d, {first}, true).changes.endpoints.empty());
+  auto again = first;
+  again.endpoint.since += 1'000;
+  EXPECT_EQ(take(d, {again}, true).changes.endpoints.size(), 1u);
+}
+
 TEST(Directory, AListThatSaysNothingNewChangesNothing) {
   Directory d;
   EXPECT_EQ(take(d, {member("a", 1), member("b", 2)}, true).changes.endpoints.size(), 2u);
