What waits is accepted after any failure, and writes that are cut short go on

Cause, accept: Asio keeps ECONNABORTED and EPROTO to itself unless enable_connection_aborted is set, and looks at the queue again only at the next edge, so what waited stayed there (both red tests). Set now at the intake, the admin socket, the streams of copies and the agent's servers; after any failure the queue is looked at again after 5 ms (50 before), told at most once a second with its reason.

Cause, writes: after a write that was cut short Asio waits for an edge of "writable", which comes only where the buffer was full; with writes of one byte calls, notices and watches stood for ever (AcceptTest.AnAnswerInSmallWritesIsWhole on the build before: no call in 30 s). core/stream_writer.hpp writes until the system says would-block, then waits by async_wait, which asks for the state. ENOBUFS and ENOMEM are tried again each 5 ms instead of closing a client that is owed its answer.

--- a/fleet/api_server.cpp
+++ b/fleet/api_server.cpp
@@ -343,6 +343,7 @@
   ::umask(before);
   if (bad) throw std::runtime_error(path + ": " + bad.message());
   acceptor.listen();
+  acceptor.set_option(net::socket_base::enable_connection_aborted(true), bad);
   impl_->accept_local();
 }
 
@@ -370,6 +371,7 @@
   acceptor.bind(address, bad);
   must(bad, address.address().to_string() + ":" + std::to_string(address.port()));
   acceptor.listen();
+  acceptor.set_option(net::socket_base::enable_connection_aborted(true), bad);
   impl_->accept_tls();
   return acceptor.local_endpoint();
 }
--- a/fleet/platform_server.cpp
+++ b/fleet/platform_server.cpp
@@ -120,6 +120,7 @@
     acceptor_.open(at.protocol(), bad);
     if (!bad) keep_from_children(acceptor_.native_handle());
     if (!bad) acceptor_.set_option(tcp::acceptor::reuse_address(true), bad);
+    if (!bad) acceptor_.set_option(net::socket_base::enable_connection_aborted(true), bad);
     if (!bad) acceptor_.bind(at, bad);
     if (!bad) acceptor_.listen(tcp::acceptor::max_listen_connections, bad);
     if (!bad) acceptor_.non_blocking(true, bad);
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -12,6 +12,7 @@
 
 #include "answer.hpp"
 #include "core/message.hpp"
+#include "core/stream_writer.hpp"
 #include "fail_points.hpp"
 
 namespace heronvane {
@@ -224,14 +225,15 @@
   request.prepare_payload();
   call->stage = Call::Stage::writing;
   HERONVANE_POINT("call.first-byte");
-  http::async_write(call->connection->socket, request, [this, call](error_code bad, std::size_t) {
-    if (call->stage == Call::Stage::done) return;
-    // The last byte was not written, so the call has not begun there.
-    if (bad) return end_all(call, Outcome::connect_failed);
-    HERONVANE_POINT("call.written");
-    call->stage = Call::Stage::waiting;
-    read(call);
-  });
+  write_all(call->connection->socket, wire_text(request),
+            [this, call, kept = call->connection](error_code bad) {
+              if (call->stage == Call::Stage::done) return;
+              // The last byte was not written, so the call has not begun there.
+              if (bad) return end_all(call, Outcome::connect_failed);
+              HERONVANE_POINT("call.written");
+              call->stage = Call::Stage::waiting;
+              read(call);
+            });
 }
 
 void Calls::read(const std::shared_ptr<Call>& call) {
--- a/relay/copies/streams.cpp
+++ b/relay/copies/streams.cpp
@@ -130,11 +130,13 @@
     try {
       acceptor_.open(listen.protocol());
       acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+      acceptor_.set_option(net::socket_base::enable_connection_aborted(true));
       acceptor_.bind(listen);
       acceptor_.listen();
     } catch (const boost::system::system_error& e) {
-      throw std::runtime_error("copies.listen: " + listen.address().to_string() + ":" +
-                               std::to_string(listen.port()) + ": " + e.code().message());
+      throw std::system_error(
+          e.code().value(), std::generic_category(),
+          "copies.listen: " + listen.address().to_string() + ":" + std::to_string(listen.port()));
     }
   }
   void start() { accept(); }
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "clock.hpp"
+#include "core/stream_writer.hpp"
 #include "framing.hpp"
 #include "request.hpp"
 
@@ -34,7 +35,10 @@
 constexpr std::size_t kLingerBytes = 1 << 20;
 constexpr auto kLastRequest =
     std::chrono::milliseconds(200);  // for the first request, once no more are wanted
-constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+// Until it is accepted again after a failure. Short, since clients wait in the queue; long enough that an
+// error which stays costs next to nothing.
+constexpr auto kAcceptPause = std::chrono::milliseconds(5);
+constexpr std::size_t kAcceptFailures = 16;  // that are borne while what waits is accepted at the end
 // Where three quarters of the connections are in use, room is short.
 constexpr std::size_t kShortOf = 4, kShort = 3;
 constexpr std::size_t kRoomTries = 4;         // connections looked at to make room for one
@@ -43,6 +47,14 @@
 constexpr Time kComeBack = 500'000;  // what was turned away for want of room may come again
 constexpr auto kLastLook = std::chrono::milliseconds(20);  // until a read that is late is ended again
 
+// What an accept that failed tells of, in one of a few texts.
+const char* failure_text(error_code bad) {
+  if (bad == net::error::no_descriptors || bad == boost::system::errc::too_many_files_open_in_system)
+    return "no descriptor";
+  if (bad == net::error::no_buffer_space || bad == net::error::no_memory) return "no memory";
+  return "the connection was lost before";
+}
+
 std::string seconds_text(Time t) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", static_cast<double>(t) * 1e-6);
@@ -193,8 +205,8 @@
                             });
   }
   void go_on() {
-    const auto go = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
-    http::async_write(socket_, *go, [self = shared_from_this(), go](error_code bad, std::size_t) {
+    const http::response<http::empty_body> go(http::status::continue_, 11);
+    write_all(socket_, wire_text(go), [self = shared_from_this()](error_code bad) {
       if (self->closed_) return;
       if (bad) return self->close();
       self->read_body();
@@ -270,7 +282,7 @@
     }
     response_.prepare_payload();
     limit(kAnswerTime);
-    http::async_write(socket_, response_, [self = shared_from_this()](error_code bad, std::size_t) {
+    write_all(socket_, wire_text(response_), [self = shared_from_this()](error_code bad) {
       if (self->closed_) return;
       if (bad) return self->close();
       self->close_after_ ? self->part() : self->next();
@@ -313,7 +325,12 @@
       limits_(limits),
       take_(std::move(take)),
       ready_(std::move(ready)),
-      tally_(io, "clients turned down") {
+      tally_(io, "clients turned down"),
+      accept_failures_(io, "accept failed") {
+  // Else Asio keeps ECONNABORTED and EPROTO to itself, and looks at the queue again only once a further
+  // connection comes.
+  error_code ignored;
+  acceptor_.set_option(net::socket_base::enable_connection_aborted(true), ignored);
   accept();
 }
 Intake::~Intake() = default;
@@ -322,8 +339,8 @@
   acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
     if (bad == net::error::operation_aborted) return;
     if (bad) {
-      // Guards against spinning while no descriptor is free.
-      log("accept: " + bad.message());
+      // Of one connection or of all: what else waits in the queue is accepted without a further one.
+      accept_failures_.add(failure_text(bad));
       return pause_.set(kAcceptPause, [this] { accept(); });
     }
     make_room();
@@ -373,17 +390,25 @@
 void Intake::finish() {
   if (std::exchange(finishing_, true)) return;
   pause_.cancel();
+  accept_waiting();
+  error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
+    session->finish();
+}
+
+// Those that wait to be accepted would be reset with what they wrote.
+void Intake::accept_waiting() {
   error_code bad;
   acceptor_.non_blocking(true, bad);
-  // Those that wait to be accepted would be reset with what they wrote.
-  while (!bad && sessions_.size() < limits_.clients) {
+  if (bad) return;
+  std::size_t failures = 0;
+  while (sessions_.size() < limits_.clients && failures < kAcceptFailures) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, bad);
-    if (!bad) begin(std::move(socket));
+    if (bad == net::error::would_block || bad == net::error::try_again) return;
+    bad ? void(failures++) : begin(std::move(socket));
   }
-  acceptor_.close(bad);
-  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
-    session->finish();
 }
 
 bool Intake::busy() const {
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -48,6 +48,7 @@
  private:
   class Session;
   void accept();
+  void accept_waiting();
   void begin(boost::asio::ip::tcp::socket socket);
   void make_room();
   bool short_of_room() const;
@@ -62,7 +63,7 @@
   Ready ready_;
   bool draining_ = false, finishing_ = false;
   std::size_t body_bytes_ = 0;
-  Tally tally_;
+  Tally tally_, accept_failures_;
   std::set<std::shared_ptr<Session>> sessions_;
 };
 
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -14,6 +14,7 @@
 #include "answer.hpp"
 #include "core/list_reader.hpp"
 #include "core/object_splitter.hpp"
+#include "core/stream_writer.hpp"
 #include "fail_points.hpp"
 #include "log.hpp"
 
@@ -154,13 +155,14 @@
     if (bad) return end(query, bad.message());
     error_code ignored;
     query->socket.set_option(tcp::no_delay(true), ignored);
+    query->socket.non_blocking(true, ignored);
     follow ? guard(query) : list_time(query);
     query->request.method(http::verb::get);
     query->request.version(11);
     query->request.target(follow ? "/catalog/members?follow=1&since=" + std::to_string(index_)
                                  : std::string("/catalog/members"));
     query->request.set(http::field::host, "discovery.svc");
-    http::async_write(query->socket, query->request, [this, query](error_code failed, std::size_t) {
+    write_all(query->socket, wire_text(query->request), [this, query](error_code failed) {
       if (query->over) return;
       if (failed) return end(query, failed.message());
       read(query);
@@ -355,8 +357,9 @@
     if (bad) return posted(post, bad.message());
     error_code ignored;
     post->socket->set_option(tcp::no_delay(true), ignored);
+    post->socket->non_blocking(true, ignored);
     HERONVANE_POINT("notice.before");
-    http::async_write(*post->socket, post->request, [this, post](error_code unsent, std::size_t) {
+    write_all(*post->socket, wire_text(post->request), [this, post, kept = post->socket](error_code unsent) {
       if (post->over) return;
       if (unsent) return posted(post, unsent.message());
       read(post);
--- a/tests/accept_test.cpp
+++ b/tests/accept_test.cpp
@@ -1,6 +1,8 @@
-// Connections that can't be accepted, by the relay's intake over loopback
-// sockets: whatever accept() says, a client that waits is answered without a
-// further connection.
+// Connections that can't be accepted, by the relay's intake over loopback sockets: whatever accept() says, a
+// client that waits is answered without a further connection.
+#include <algorithm>
+#include <iterator>
+
 #include "relay_harness.hpp"
 
 namespace heronvane::testing {
@@ -9,46 +11,41 @@
 const char *const kHealthRequest = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
 
 class AcceptTest : public RelayTest {
-protected:
+ protected:
   // Starts a relay of which one accept fails with `error`, once fail_now() was
   // called. `call` as in lab/faults/interpose.cpp.
   void start_failing(const std::string &call, const std::string &error) {
-    if (child > 0)
-      kill_relay();
+    if (child > 0) kill_relay();
     std::filesystem::remove(folder + "/failing");
-    faults = "[[error]]\ncall = \"" + call + "\"\nerrno = \"" + error +
-             "\"\ntimes = 1\nwhile = \"" + folder + "/failing\"\n";
+    faults = "[[error]]\ncall = \"" + call + "\"\nerrno = \"" + error + "\"\ntimes = 1\nwhile = \"" + folder +
+             "/failing\"\n";
     start();
   }
   void fail_now() { std::ofstream(folder + "/failing") << "x"; }
   void expect_answered(const std::shared_ptr<Client> &client) {
-    wait_for([&] { return client->ended || !client->answers.empty(); },
-             "the client is answered");
+    wait_for([&] { return client->ended || !client->answers.empty(); }, "the client is answered");
     EXPECT_EQ(client->answers.size(), 1u);
   }
 };
 
 TEST_F(AcceptTest, AClientBehindALostConnectionIsAnswered) {
-  for (const char *error :
-       {"ECONNABORTED", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "EPERM"}) {
+  for (const char *error : {"ECONNABORTED", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "EPERM"}) {
     SCOPED_TRACE(error);
     start_failing("accepted", error);
-    ::kill(child, SIGSTOP); // both wait in the queue when it looks
+    ::kill(child, SIGSTOP);  // both wait in the queue when it looks
     fail_now();
     const auto lost = connect(), behind = connect();
     ASSERT_TRUE(lost && behind);
     behind->write(kHealthRequest);
     ::kill(child, SIGCONT);
     expect_answered(behind);
-    if (HasFailure())
-      return;
+    if (HasFailure()) return;
   }
 }
 
 TEST_F(AcceptTest, ASingleClientIsAnswered) {
-  for (const char *error :
-       {"ECONNABORTED", "EPROTO", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM",
-        "ENETDOWN", "EHOSTUNREACH", "EPERM", "EINTR"}) {
+  for (const char *error : {"ECONNABORTED", "EPROTO", "ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "ENETDOWN",
+                            "EHOSTUNREACH", "EPERM", "EINTR"}) {
     SCOPED_TRACE(error);
     start_failing("accept", error);
     fail_now();
@@ -56,10 +53,61 @@
     ASSERT_TRUE(client);
     client->write(kHealthRequest);
     expect_answered(client);
-    if (HasFailure())
-      return;
+    if (HasFailure()) return;
   }
 }
 
-} // namespace
-} // namespace heronvane::testing
+// An error that stays is tried at a bounded rate, and told in a few lines.
+TEST_F(AcceptTest, AnErrorThatStaysCostsLittle) {
+  faults = "report = \"" + folder + "/given\"\n[[error]]\ncall = \"accept\"\nerrno = \"ENFILE\"\nwhile = \"" +
+           folder + "/failing\"\n";
+  start();
+  fail_now();
+  const auto client = connect();
+  ASSERT_TRUE(client);
+  client->write(kHealthRequest);
+  const auto begun = std::chrono::steady_clock::now();
+  const auto span = std::chrono::seconds(2);
+  wait_for([&] { return std::chrono::steady_clock::now() - begun > span; },
+           "the error has stayed for a while");
+  std::filesystem::remove(folder + "/failing");
+  expect_answered(client);
+  const auto lasted = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+  std::ifstream in(folder + "/given");
+  const auto tries = std::count(std::istreambuf_iterator<char>(in), {}, '\n');
+  EXPECT_GT(tries, 10);
+  EXPECT_LT(static_cast<double>(tries), lasted * 220) << "more than one each 5 ms";
+  const std::string log = logged();
+  EXPECT_NE(log.find("accept failed: no descriptor ("), std::string::npos) << log;
+  EXPECT_LT(std::count(log.begin(), log.end(), '\n'), 12) << log;
+}
+
+// ---- Answers. ----
+// A client whose answer the system has no buffer for is owed it all the same: its message was taken on.
+TEST_F(AcceptTest, AnAnswerOutlivesAShortageOfBuffers) {
+  for (const char *error : {"ENOBUFS", "ENOMEM"}) {
+    SCOPED_TRACE(error);
+    start_failing("send", error);
+    endpoint.on_request(stay_silent);
+    const auto client = connect();
+    ASSERT_TRUE(client);
+    fail_now();
+    client->write(request(std::string("m-") + error, "load-status"));
+    expect_answered(client);
+    if (HasFailure()) return;
+    EXPECT_EQ(client->answers[0].result_int(), 202u);
+  }
+}
+
+// An answer that goes byte by byte is whole.
+TEST_F(AcceptTest, AnAnswerInSmallWritesIsWhole) {
+  faults = "[[short]]\ncall = \"send\"\nbytes = 1\n[[short]]\ncall = \"recv\"\nbytes = 1\n";
+  start();
+  EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  ASSERT_EQ(endpoint.got.size(), 1u);
+  EXPECT_EQ(endpoint.got[0].request.body(), "hello");
+}
+
+}  // namespace
+}  // namespace heronvane::testing
