--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -87,6 +87,25 @@
   for (const auto& s : r.sent) EXPECT_LE(s.at, first + 5 * kS - 150 * kMs);
   EXPECT_EQ(r.failed.count(id) + r.refused.count(id), 1u);
 }
+// Whenever the attempt that may have run ends: the last repeats come shortly before the margin, none behind
+// it.
+TEST(Effects, KeyedRepeatsLeaveTimeForALateWrite) {
+  constexpr Time kWindow = 5 * kS, kMargin = 150 * kMs;
+  Time latest = 0;
+  for (std::uint64_t seed = 1; seed <= 20; seed++)
+    for (Time ends = kWindow - 2 * kS; ends < kWindow; ends += 20 * kMs) {
+      Relay r(plain(), seed);
+      r.list({{.id = "a", .destination = 1}});
+      const auto id = r.arrive(kKeyed);
+      const Time first = r.now;
+      r.run_to(first + ends);
+      r.end(id, Outcome::error);
+      r.run_to(first + 2 * kWindow);
+      for (const auto& s : r.sent) latest = std::max(latest, s.at - first);
+    }
+  EXPECT_LE(latest, kWindow - kMargin);
+  EXPECT_GT(latest, kWindow - 2 * kMargin) << "nothing came near the end of the window";
+}
 TEST(Effects, KeyedWindowCountsFromTheAttemptThatMayHaveRun) {
   Relay r;
   r.list({{.id = "a", .destination = 1}});
