--- a/lab/experiment.cpp
+++ b/lab/experiment.cpp
@@ -24,6 +24,7 @@
 constexpr Kind kKinds[] = {
     {FaultKind::kill, "kill", "back"},
     {FaultKind::restart, "restart", "back"},
+    {FaultKind::overlap, "overlap", ""},
     {FaultKind::stop, "stop", "for!"},
     {FaultKind::slow, "slow", "for! share!"},
     {FaultKind::wipe, "wipe", "back"},
--- a/lab/experiment.hpp
+++ b/lab/experiment.hpp
@@ -82,6 +82,7 @@
 enum class FaultKind {
   kill,       // SIGKILL; back after `back`
   restart,    // SIGTERM, SIGKILL after 3.7 s; back after `back`
+  overlap,    // the next process is started first, then SIGTERM; SIGKILL after 3.7 s
   stop,       // SIGSTOP for `lasts`
   slow,       // stopped for the share `amount` of the time, for `lasts`
   wipe,       // SIGKILL and its disk lost; back with an empty one after `back`, or never
--- a/lab/machine.cpp
+++ b/lab/machine.cpp
@@ -48,7 +48,34 @@
     if (running_ || ended_) return;
     running_ = true, wanted_ = false, ready_ = false, late_ = false;
     life_++;
-    std::ofstream(options_.folder + "/config.json") << options_.config(life_);
+    begun_ = std::chrono::steady_clock::now();
+    if (successor_) return begun(std::exchange(successor_, Process()));
+    launcher_.start(command(life_), [self = shared_from_this(), life = life_](Process process) {
+      if (self->ended_ || life != self->life_) return;
+      if (!process) return self->over();
+      self->begun(std::move(process));
+    });
+  }
+  void overlap(Time killed) {
+    if (!running_ || ended_ || successor_) return;
+    launcher_.start(command(life_ + 1), [self = shared_from_this(), killed](Process process) {
+      if (self->ended_) return process ? void(process.signal(SIGKILL)) : void();
+      self->successor_ = std::move(process);
+      self->terminate(killed);
+    });
+  }
+  void terminate(Time killed) {
+    if (!running_) return;
+    wanted_ = true;
+    signal(SIGTERM);
+    kill_.expires_after(microseconds(killed));
+    kill_.async_wait([self = shared_from_this()](error_code bad) {
+      if (!bad) self->signal(SIGKILL);
+    });
+  }
+  // The command of a process that reads a configuration of its own.
+  Command command(unsigned life) {
+    std::ofstream(options_.folder + "/config.json") << options_.config(life);
     Command c;
     c.arguments = {options_.program};
     c.environment = {"LB_CONFIG=" + options_.folder + "/config.json", "LB_STATE=" + state(),
@@ -57,17 +84,14 @@
       c.environment.push_back("HERONVANE_SETTINGS=" + options_.folder + "/settings.toml");
     c.environment.insert(c.environment.end(), options_.environment.begin(), options_.environment.end());
     c.log = options_.folder + "/log";
-    begun_ = std::chrono::steady_clock::now();
-    launcher_.start(c, [self = shared_from_this(), life = life_](Process process) {
-      if (self->ended_ || life != self->life_) return;
-      if (!process) return self->over();
-      self->process_ = std::move(process);
-      if (self->wanted_) self->process_.signal(SIGKILL);  // killed before it was there
-      self->watch_ =
-          std::make_unique<net::posix::stream_descriptor>(self->io_, ::dup(self->process_.descriptor()));
-      self->watch(life);
-      self->ask();
-    });
+    return c;
+  }
+  void begun(Process process) {
+    process_ = std::move(process);
+    if (wanted_) process_.signal(SIGKILL);  // killed before it was there
+    watch_ = std::make_unique<net::posix::stream_descriptor>(io_, ::dup(process_.descriptor()));
+    watch(life_);
+    ask();
   }
   // The descriptor of a process turns readable when it has ended; a loop may also wake for what it had
   // before.
@@ -136,6 +160,7 @@
   Hooks hooks_;
   net::steady_timer ask_, kill_;
   Process process_;
+  Process successor_;  // started by overlap(), and not taken over yet
   std::unique_ptr<net::posix::stream_descriptor> watch_;
   std::chrono::steady_clock::time_point begun_;
   unsigned life_ = 0;
@@ -148,6 +173,7 @@
 Machine::~Machine() {
   impl_->ended_ = true;
   impl_->signal(SIGKILL);
+  if (impl_->successor_) impl_->successor_.signal(SIGKILL);
   impl_->ask_.cancel(), impl_->kill_.cancel();
   impl_->watch_.reset();
 }
@@ -158,15 +184,8 @@
   impl_->wanted_ = true;
   impl_->signal(SIGKILL);
 }
-void Machine::terminate(Time killed) {
-  if (!impl_->running_) return;
-  impl_->wanted_ = true;
-  impl_->signal(SIGTERM);
-  impl_->kill_.expires_after(microseconds(killed));
-  impl_->kill_.async_wait([self = impl_](error_code bad) {
-    if (!bad) self->signal(SIGKILL);
-  });
-}
+void Machine::terminate(Time killed) { impl_->terminate(killed); }
+void Machine::overlap(Time killed) { impl_->overlap(killed); }
 void Machine::stop() { impl_->signal(SIGSTOP); }
 void Machine::go_on() { impl_->signal(SIGCONT); }
 bool Machine::running() const { return impl_->running_; }
--- a/lab/machine.hpp
+++ b/lab/machine.hpp
@@ -36,11 +36,14 @@
   Machine(const Machine&) = delete;
   Machine& operator=(const Machine&) = delete;
 
-  void start();                 // where no process runs
+  void start();                 // where no process runs, but for the next one of overlap()
   void kill();                  // SIGKILL
   void terminate(Time killed);  // SIGTERM; SIGKILL where it still runs so much later
-  void stop();                  // SIGSTOP
-  void go_on();                 // SIGCONT
+  // Starts the next process beside the one that runs, which then gets SIGTERM, and SIGKILL where it still
+  // runs so much later. The next start() takes the next process over; it is the machine's only then.
+  void overlap(Time killed);
+  void stop();   // SIGSTOP
+  void go_on();  // SIGCONT
   bool running() const;
   pid_t pid() const;
 
--- a/lab/world_faults.cpp
+++ b/lab/world_faults.cpp
@@ -40,6 +40,7 @@
   switch (s.kind) {
     case FaultKind::kill:
     case FaultKind::restart:
+    case FaultKind::overlap:
     case FaultKind::configure:
     case FaultKind::stop:
     case FaultKind::slow:
@@ -117,15 +118,18 @@
       configure(r, s.how, s.amount);
       [[fallthrough]];
     case FaultKind::restart:
-      back_[r] = s.back < 0 ? kBackAfterRestart : s.back;
+    case FaultKind::overlap: {
+      const bool overlaps = s.kind == FaultKind::overlap;
+      back_[r] = overlaps ? 0 : s.back < 0 ? kBackAfterRestart : s.back;
       note(Kind::term, r);
-      m.terminate(kRestartKill);
+      overlaps ? m.overlap(kRestartKill) : m.terminate(kRestartKill);
       after(kDoorAfterTerm, [this, r] {
         if (up_[r] && machines_[r]->running()) return;
         doors_[links_[r].clients] = Door::closed;
         refresh_clients(r);
       });
       return;
+    }
     case FaultKind::stop:
       note(Kind::away, r);
       m.stop();
