What falls due while the folder can't be written is told in its time

Relay::tell_overdue tells what is overdue without its record then: a restart that finds none finds the message overdue, makes no call and tells the same once more, which does no harm. An end in time still waits for its record.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -517,10 +517,29 @@
 void Relay::retry_later() {
   stall_timer_.set(kStallRetry, [this] {
     settle();
+    if (unwritten_ || !outbox_.empty()) tell_overdue();
     if (store_.wants_compaction()) compact();
   });
 }
 
+// Ends that are due while their records can't be written, or don't last yet: they are owed in time all the
+// same. A restart that finds no record of such an end finds the message overdue, makes no call, and tells the
+// end once more, which does no harm.
+void Relay::tell_overdue() {
+  const Time now = store_.clock().now();
+  std::vector<MessageId> overdue;
+  for (const auto& [id, held] : store_.held())
+    if (held.message.deadline <= now) overdue.push_back(id);
+  for (const MessageId id : overdue) {
+    if (!store_.find(id)->ending) {
+      store_.ending(id, {false, 0});
+      happened(event::Withdrawn{id});
+    }
+    const Held& held = *store_.find(id);
+    platform_.notice(id, held.message.id, *held.ending);
+  }
+}
+
 void Relay::turn_away(std::vector<Plan::Answered> answers, unsigned status) {
   for (auto& a : answers) {
     HERONVANE_POINT("turn-away.before");
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -88,6 +88,7 @@
   void synced();
   void not_written();
   void retry_later();
+  void tell_overdue();
   void keep_from(const EndpointId& endpoint);
   void cancel(MessageId id, int attempt);
   void carry_out();
--- a/tests/failing_disk_test.cpp
+++ b/tests/failing_disk_test.cpp
@@ -61,7 +61,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Errors, FailingDiskTest, ::testing::Values("ENOSPC", "EIO", "EDQUOT"),
-                         [](const auto& info) { return std::string(info.param); });
+                         [](const auto& test) { return std::string(test.param); });
 
 }  // namespace
 }  // namespace heronvane::testing
