Reads and writes that are interrupted, or find no memory, break no stream

ENOMEM and ENOBUFS closed watches, requests and calls. After an error Asio tries the next read only at another edge, so reading on waits for the state (core/read_again.hpp).

AcceptTest.ReadsAndWritesThatFailForAMomentLoseNothing fails on the build before (no answer at the first EINTR) and passes, 3 of 3.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -12,6 +12,7 @@
 
 #include "answer.hpp"
 #include "core/message.hpp"
+#include "core/socket_errors.hpp"
 #include "core/stream_writer.hpp"
 #include "fail_points.hpp"
 
@@ -72,7 +73,11 @@
 
 struct Calls::Call {
   Call(net::io_context& io, EndpointId e, std::vector<Outgoing> m)
-      : endpoint(std::move(e)), messages(std::move(m)), over(messages.size(), false), timer(io) {
+      : endpoint(std::move(e)),
+        messages(std::move(m)),
+        over(messages.size(), false),
+        timer(io),
+        read_pause(io) {
     left = messages.size();
   }
   enum class Stage { connecting, writing, waiting, done };
@@ -85,6 +90,7 @@
   Time sent = steady_now();
   std::shared_ptr<Connection> connection;
   Alarm timer;
+  Alarm read_pause;  // while the system has no memory for a read
   http::request<http::string_body> request;
   AnswerReader answer;
   Time answer_due = 0;  // for the rest of an answer that has begun; 0: none has
@@ -240,27 +246,30 @@
   call->connection->socket.async_wait(tcp::socket::wait_read, [this, call](error_code bad) {
     if (call->stage == Call::Stage::done) return;
     if (bad) return broken(call);
-    if (take(call)) read(call);
+    const Taken taken = take(call);
+    if (taken == Taken::waiting) read(call);
+    if (taken == Taken::shortage) call->read_pause.set(kShortagePause, [this, call] { read(call); });
   });
 }
 
-// Reads what has come of the answer; false once that ended the call.
-bool Calls::take(const std::shared_ptr<Call>& call) {
+// Reads what has come of the answer; that may end the call.
+Calls::Taken Calls::take(const std::shared_ptr<Call>& call) {
   using State = AnswerReader::State;
   error_code bad;
   const std::size_t size = call->connection->socket.read_some(net::buffer(chunk_), bad);
-  if (bad == net::error::would_block) return true;
+  if (is_not_now(bad)) return Taken::waiting;
+  if (is_shortage(bad)) return Taken::shortage;
   const State state = bad == net::error::eof ? call->answer.end()
                       : bad                  ? State::broken
                                              : call->answer.put(chunk_.data(), size);
-  if (state == State::whole) return answered(call), false;
-  if (state == State::broken) return broken(call), false;
+  if (state == State::whole) return answered(call), Taken::ended;
+  if (state == State::broken) return broken(call), Taken::ended;
   const bool begun = call->answer.begun();
   if (begun != (call->answer_due > 0)) {
     call->answer_due = begun ? steady_now() + kAnswerTime : 0;
     arm(call);
   }
-  return true;
+  return Taken::waiting;
 }
 
 // The stream can't be trusted any more: what was sent may have run, whatever the first line said but 200.
@@ -354,7 +363,7 @@
   call->timer.set(span(std::max<Time>(due - steady_now(), 0)), [this, call] {
     // An answer that is here counts, though it is read only now: its time was up in the same moment, or this
     // process stood still.
-    if (call->stage == Call::Stage::waiting && !take(call)) return;
+    if (call->stage == Call::Stage::waiting && take(call) == Taken::ended) return;
     const Time now = steady_now();
     const bool connecting = call->stage == Call::Stage::connecting;
     if (connecting && now >= call->connect_due(limits_)) return end_all(call, Outcome::connect_failed);
@@ -387,6 +396,7 @@
   if (--call->left == 0) {
     call->stage = Call::Stage::done;
     call->timer.cancel();
+    call->read_pause.cancel();
     forget(call);
     // Given up or broken: no answer may come on this connection any more.
     error_code ignored;
@@ -419,7 +429,7 @@
   if (found == by_message_.end()) return;
   const auto call = found->second;
   // As when its time is up: an answer that is here counts.
-  if (call->stage == Call::Stage::waiting && !take(call)) return;
+  if (call->stage == Call::Stage::waiting && take(call) == Taken::ended) return;
   for (std::size_t i = 0; i < call->messages.size(); i++)
     if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
       const bool begun = call->stage != Call::Stage::connecting;
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -91,7 +91,8 @@
   void connect(const std::shared_ptr<Call>& call, const boost::asio::ip::tcp::endpoint& address);
   void write(const std::shared_ptr<Call>& call);
   void read(const std::shared_ptr<Call>& call);
-  bool take(const std::shared_ptr<Call>& call);
+  enum class Taken { ended, waiting, shortage };
+  Taken take(const std::shared_ptr<Call>& call);
   void answered(const std::shared_ptr<Call>& call);
   void broken(const std::shared_ptr<Call>& call);
   void answered_bundle(const std::shared_ptr<Call>& call);
--- a/relay/core/stream_writer.hpp
+++ b/relay/core/stream_writer.hpp
@@ -6,18 +6,18 @@
 #pragma once
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/system/error_code.hpp>
-#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "core/socket_errors.hpp"
+
 namespace heronvane {
 
 // The bytes of an HTTP message as they go over the wire.
@@ -52,9 +52,8 @@
     while (!bad && written_ < text_.size())
       written_ +=
           socket_.write_some(boost::asio::buffer(text_.data() + written_, text_.size() - written_), bad);
-    if (bad == boost::asio::error::would_block || bad == boost::asio::error::try_again)
-      return wait_for_room();
-    if (bad == boost::asio::error::no_buffer_space || bad == boost::asio::error::no_memory) return pause();
+    if (is_not_now(bad)) return wait_for_room();
+    if (is_shortage(bad)) return pause();
     boost::asio::post(socket_.get_executor(), [self = this->shared_from_this(), bad] { self->done_(bad); });
   }
 
@@ -66,8 +65,7 @@
   }
   // The system has no memory for it now. Ends, as any write, once the socket is closed.
   void pause() {
-    constexpr auto kPause = std::chrono::milliseconds(5);
-    pause_.expires_after(kPause);
+    pause_.expires_after(kShortagePause);
     pause_.async_wait([self = this->shared_from_this()](boost::system::error_code) { self->go_on(); });
   }
 
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "clock.hpp"
+#include "core/read_again.hpp"
 #include "core/stream_writer.hpp"
 #include "framing.hpp"
 #include "request.hpp"
@@ -66,7 +67,7 @@
 class Intake::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Intake& intake, tcp::socket socket)
-      : intake_(intake), socket_(std::move(socket)), timer_(intake.io_) {}
+      : intake_(intake), socket_(std::move(socket)), timer_(intake.io_), read_pause_(intake.io_) {}
 
   bool idle() const { return stage_ == Stage::idle; }
   // Since when it could be closed for want of room, the earlier the sooner: those that were turned down
@@ -108,6 +109,7 @@
     closed_ = true;
     error_code ignored;
     timer_.cancel();
+    read_pause_.cancel();
     socket_.close(ignored);
     release();
     intake_.sessions_.erase(shared_from_this());
@@ -190,6 +192,9 @@
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
+    read_on_header();
+  }
+  void read_on_header() {
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code bad, std::size_t) {
                               if (self->closed_) return;
@@ -234,12 +239,21 @@
   // Half a request, by a client that left, is nobody's; one that can't be read is answered.
   void unreadable(error_code bad) {
     if (late_ && bad == net::error::operation_aborted) return turn_down(400, "half a request");
+    if (is_shortage(bad)) return read_on_later();
     const bool left = bad == http::error::end_of_stream || bad == http::error::partial_message ||
                       bad.category() == net::error::get_system_category() ||
                       bad.category() == net::error::get_misc_category();
     if (left) return close();
     turn_down(bad == http::error::body_limit ? 413 : 400, "can't be read");
   }
+  // What came by then stands. The request's time runs on.
+  void read_on_later() {
+    read_again(socket_, read_pause_, [self = shared_from_this()] {
+      if (self->closed_ || self->stage_ != Stage::reading) return;
+      if (self->late_) return self->turn_down(400, "half a request");
+      self->parser_->is_header_done() ? self->read_body() : self->read_on_header();
+    });
+  }
   // Nothing behind it is read as a request.
   void turn_down(unsigned status, const char* why) {
     intake_.tally_.add(why);
@@ -295,7 +309,7 @@
       char away[4096];
       const std::size_t size = bad ? 0 : self->socket_.read_some(net::buffer(away), bad);
       self->lingered_ += size;
-      if ((bad && bad != net::error::would_block) || self->lingered_ > kLingerBytes) return self->close();
+      if ((bad && !is_not_now(bad)) || self->lingered_ > kLingerBytes) return self->close();
       self->linger();
     });
   }
@@ -304,6 +318,7 @@
   Intake& intake_;
   tcp::socket socket_;
   Alarm timer_;
+  Alarm read_pause_;  // while the system has no memory for a read
   Buffer buffer_{kMostHeader + kMostBody};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -14,6 +14,7 @@
 #include "answer.hpp"
 #include "core/list_reader.hpp"
 #include "core/object_splitter.hpp"
+#include "core/read_again.hpp"
 #include "core/stream_writer.hpp"
 #include "fail_points.hpp"
 #include "log.hpp"
@@ -48,13 +49,14 @@
 
 struct Platform::Query {
   Query(net::io_context& io, bool f, std::size_t most_list)
-      : follow(f), socket(io), timer(io), buffer(most_list) {
+      : follow(f), socket(io), timer(io), read_pause(io), buffer(most_list) {
     // A watch goes on for ever. Beast 1.74 takes no limit for a limit of nothing where a length is announced.
     f ? parser.body_limit(boost::none) : parser.body_limit(most_list);
   }
   bool follow, over = false;
   tcp::socket socket;
   Alarm timer;
+  Alarm read_pause;  // while the system has no memory for a read
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
@@ -70,9 +72,10 @@
 };
 
 struct Platform::Post {
-  explicit Post(net::io_context& io) : timer(io) {}
+  explicit Post(net::io_context& io) : timer(io), read_pause(io) {}
   std::shared_ptr<tcp::socket> socket;
   Alarm timer;
+  Alarm read_pause;  // while the system has no memory for a read
   std::vector<MessageId> ids;
   bool fresh = false, over = false;
   http::request<http::string_body> request;
@@ -117,6 +120,7 @@
   error_code ignored;
   query->socket.close(ignored);
   query->timer.cancel();
+  query->read_pause.cancel();
   query.reset();
 }
 
@@ -134,6 +138,7 @@
   if (post_) {
     post_->over = true;
     post_->timer.cancel();
+    post_->read_pause.cancel();
     error_code ignored;
     post_->socket->close(ignored);
     post_.reset();
@@ -186,13 +191,8 @@
   // It is not the watch that is slow: what it told is still being read.
   if (query->reader || query->list) return guard(query);
   // What was written is told, though it comes to be read in the very moment, or after this process stood
-  // still.
-  error_code bad;
-  if (!query->looked && query->socket.available(bad) > 0) {
-    query->looked = true;
-    query->timer.set(kLook, [this, query] { silent(query); });
-    return;
-  }
+  // still; it may also be on its way yet.
+  if (!std::exchange(query->looked, true)) return query->timer.set(kLook, [this, query] { silent(query); });
   if (query->answered && watch_ == query) {
     log("discovery: watch: silent for too long, opened anew");
     if (whole_due_) index_ = 0;  // it asks for all again
@@ -205,6 +205,9 @@
   http::async_read_some(
       query->socket, query->buffer, query->parser, [this, query](error_code bad, std::size_t) {
         if (query->over) return;
+        if (is_shortage(bad))
+          return read_again(query->socket, query->read_pause,
+                            [this, query] { query->over ? void() : read(query); });
         if (bad) return end(query, bad.message());
         if (query->parser.is_header_done()) {
           if (query->parser.get().result() != http::status::ok)
@@ -315,6 +318,7 @@
   log(std::string("discovery: ") + (query->follow ? "watch: " : "list: ") + why);
   query->over = true;
   query->timer.cancel();
+  query->read_pause.cancel();
   error_code ignored;
   query->socket.close(ignored);
   if (watch_ == query) watch_.reset();
@@ -383,6 +387,9 @@
   post->socket->async_read_some(net::buffer(post->chunk), [this, post](error_code bad, std::size_t size) {
     if (post->over) return;
     using State = AnswerReader::State;
+    if (is_shortage(bad))
+      return read_again(*post->socket, post->read_pause,
+                        [this, post, kept = post->socket] { post->over ? void() : read(post); });
     if (bad && bad != net::error::eof) return posted(post, bad.message());
     const State state = bad ? post->answer.end() : post->answer.put(post->chunk.data(), size);
     if (state == State::more) return read(post);
@@ -403,6 +410,7 @@
 void Platform::posted(const std::shared_ptr<Post>& post, const std::string& problem) {
   post->over = true;
   post->timer.cancel();
+  post->read_pause.cancel();
   post_.reset();
   if (problem.empty()) {
     backoff_ = kFirstBackoff;
--- a/tests/accept_test.cpp
+++ b/tests/accept_test.cpp
@@ -99,6 +99,32 @@
   }
 }
 
+// Reads and writes that a signal interrupts, or for which there is no memory, say nothing of the connection.
+TEST_F(AcceptTest, ReadsAndWritesThatFailForAMomentLoseNothing) {
+  for (const char *error : {"EINTR", "ENOMEM", "ENOBUFS"}) {
+    SCOPED_TRACE(error);
+    endpoint.got.clear();
+    faults.clear();
+    for (const char *call : {"recv", "send"})
+      faults += std::string("[[error]]\ncall = \"") + call + "\"\nerrno = \"" + error + "\"\nshare = 0.5\n";
+    start();
+    for (int i = 0; i < 5; i++) {
+      const std::string id = std::string("m-") + error + std::to_string(i);
+      EXPECT_EQ(hand_in(id, "pay-and-order"), 202u);
+    }
+    wait_for([&] { return endpoint.got.size() >= 5; }, "the calls");
+    EXPECT_EQ(hand_in(std::string("n-") + error, "pay-and-order"), 202u);
+    wait_for([&] { return endpoint.got.size() >= 6; }, "the last call");
+    ::kill(child, SIGTERM);
+    EXPECT_EQ(wait_exit(), 0);
+    EXPECT_EQ(endpoint.got.size(), 6u) << "one was made twice";
+    EXPECT_EQ(finals, "") << "an answer was taken for a broken stream";
+    EXPECT_NE(logged().find("stopped: 0 messages left"), std::string::npos) << logged();
+    if (HasFailure()) return;
+    std::filesystem::remove(folder + "/log");
+  }
+}
+
 // An answer that goes byte by byte is whole.
 TEST_F(AcceptTest, AnAnswerInSmallWritesIsWhole) {
   faults = "[[short]]\ncall = \"send\"\nbytes = 1\n[[short]]\ncall = \"recv\"\nbytes = 1\n";
