--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -42,7 +42,8 @@
 constexpr std::size_t kSlice = 32 * 1024;            // bytes of a list that are read in one go
 constexpr std::size_t kPart = 2'000;                 // entries of it that are told in one go
 constexpr auto kPostTime = std::chrono::seconds(1);
-constexpr auto kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::milliseconds(1000);
+// Between tries of notices. An end is owed 300 ms after its time at the latest: five tries fit into that.
+constexpr auto kFirstBackoff = std::chrono::milliseconds(25), kMostBackoff = std::chrono::milliseconds(100);
 constexpr unsigned kUnreadable = 400;
 
 }  // namespace
