A watch that fails is asked for again, whatever list is told behind its failure

Lines at fault: dispatcher.cpp took any list for a sign that the subscription stands (ask_at = kNever), and relay.cpp tells one, in place of what came while it could not ask the module, behind the failure; the parts of a list over 1,000 entries, and a fetch's answer, can come behind it alike. Now a failure is always followed by its question; the state 'subscribed', which nothing read, goes. List.IsAskedForAgainWhateverIsToldBehindAFailure and FailingDiskTest.AWatchThatEndsMeanwhileIsOpenedAnew (3 errors) fail on the build before and pass.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -133,7 +133,6 @@
   double stray_share = 0;             // of calls that fail at endpoints which serve on
   double slowness = 1;                // recent latencies of all serves, in usual ones
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
-  bool subscribed = false;
   double ask_gap = kAskAgain;
   std::vector<EndpointState*> begun, warmed;  // in this round: with calls for many; no more on trial
   std::set<EndpointId> ended_at;              // endpoints at which a call ended in this round
@@ -641,16 +640,17 @@
     for (auto& [id, e] : endpoints)
       if (e.info.listing == Listing::gone) gone.insert(id);
     if (!ev.cached)
-      subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
+      ask_gap = kAskAgain;
     else if (set.subscribe)
       ask_at = now;
   }
   void on(const event::ListChanges& ev) {
     for (const auto& info : ev.endpoints) take(info);
-    subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
+    ask_gap = kAskAgain;
   }
+  // A list that is told behind it is no sign that the next one will come: it may have waited to be told, be
+  // one of several parts, or the answer to another question. So it is asked again whatever comes.
   void on(const event::ListFailed&) {
-    subscribed = false;
     ask_at = now + micros(jittered(ask_gap));
     ask_gap = std::min(2 * ask_gap, kAskAgainMost);
   }
@@ -868,8 +868,9 @@
     if (m.cls->effect == Effect::keyed && m.may_ran_zone) t = std::min(t, key_end(m));
     return t;
   }
-  // Until when the destination surely knows the key of a message that may have run, for a call that is written
-  // as late as it may be after it was decided on. A window that is shorter than that allows no repeat.
+  // Until when the destination surely knows the key of a message that may have run, for a call that is
+  // written as late as it may be after it was decided on. A window that is shorter than that allows no
+  // repeat.
   Time key_end(const Message& m) const {
     return m.may_ran_sent + m.cls->key_window - std::max(set.tick, kWriteDelay);
   }
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -529,6 +529,25 @@
   r.run_to(r.now + 20 * kS);
   EXPECT_EQ(r.asked.size(), n);
 }
+// Guards against a relay that hears of no change any more: what was told by a list before its watch failed
+// may reach the module behind the failure, in parts or since the folder could not be written meanwhile.
+TEST(List, IsAskedForAgainWhateverIsToldBehindAFailure) {
+  const Endpoint a{.id = "a", .destination = 1};
+  for (const Event& told : {Event(event::ListWhole{{a}, false}), Event(event::ListChanges{{a}})}) {
+    auto s = plain();
+    s.subscribe = true;
+    Relay r(s);
+    r.round({event::ListWhole{{}, true}});
+    const auto before = r.asked.size();
+    r.round({event::ListFailed{}, told});
+    r.run_to(r.now + 6 * kS);
+    EXPECT_EQ(r.asked.size(), before + 1);
+    r.round({event::ListFailed{}});
+    r.round({told});
+    r.run_to(r.now + 6 * kS);
+    EXPECT_EQ(r.asked.size(), before + 2);
+  }
+}
 TEST(List, TheOldOneServesWhileItIsOutOfReach) {
   auto s = plain();
   s.subscribe = true;
--- a/tests/failing_disk_test.cpp
+++ b/tests/failing_disk_test.cpp
@@ -32,6 +32,9 @@
   fail_writes();
   wait_for([&] { return ended("due"); }, "its end, though it can't be recorded");
   EXPECT_EQ(hand_in("refused", kSafe), 503u);
+  wait_for(
+      [&] { return logged().find("messages refused: the folder can't be written (1)") != std::string::npos; },
+      "the reason in the log");
   mend();
   endpoint.on_request(answer_ok);
   wait_for([&] { return health() == 200; }, "the disk is back");
@@ -60,6 +63,21 @@
   EXPECT_EQ(calls_of("due"), 1);
 }
 
+// A list that came meanwhile is told to the decisions once the folder can be written, behind the end of its
+// watch: that used to pass for a sign that the watch goes on, and no change was heard of any more.
+TEST_P(FailingDiskTest, AWatchThatEndsMeanwhileIsOpenedAnew) {
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  fail_writes();
+  EXPECT_EQ(hand_in("refused", kSafe), 503u);
+  members += "," + member("s-2", endpoint.address());
+  tell(list(members));
+  watches.back()->close();
+  wait_for([&] { return logged().find("discovery: watch: ") != std::string::npos; }, "the watch ends");
+  mend();
+  wait_for([&] { return watches.size() == 2; }, "the next watch");
+}
+
 INSTANTIATE_TEST_SUITE_P(Errors, FailingDiskTest, ::testing::Values("ENOSPC", "EIO", "EDQUOT"),
                          [](const auto& test) { return std::string(test.param); });
 
