Log: why messages are refused, and by whom, once a second

One line a second counts the reasons: draining, too few copies, no list yet, open messages at their bound, the folder, its room, the decisions.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -117,6 +117,7 @@
             settle();
           }),
       recent_(longest_deadline(config.settings)),
+      refused_(io, "messages refused"),
       round_gap_(config.settings.tick, config.own.relay.early_rounds),
       drain_(read_drain(store_.facts())),
       generation_(config.generation),
@@ -214,20 +215,29 @@
     return reply({202, 0});
   if (HERONVANE_DEFECT_NOW("forget-message")) return reply({202, 0});
   if (HERONVANE_DEFECT_NOW("crash")) std::abort();
-  if (drain_.drain || !copied()) return reply({503, kComeBack});
+  if (drain_.drain) return refuse(reply, "draining");
+  if (!copied()) return refuse(reply, "too few copies");
   // Before discovery has told its list, an unknown destination may only be unknown yet.
   if (!directory_.knows(message.destination))
-    return list_told_ ? reply({404, 0, "unknown destination"}) : reply({503, kComeBack});
+    return list_told_ ? reply({404, 0, "unknown destination"}) : refuse(reply, "no list of destinations yet");
   message.deadline = store_.clock().now() + left;
   const std::size_t open = arrived_.size() + store_.open();
-  if (open >= static_cast<std::size_t>(config_.settings.open_max) || unwritten_ || !store_.admit(message))
-    return reply({503, kComeBack});
+  if (open >= static_cast<std::size_t>(config_.settings.open_max))
+    return refuse(reply, "open messages at their bound");
+  if (unwritten_) return refuse(reply, "the folder can't be written");
+  if (!store_.admit(message)) return refuse(reply, "no room in the folder or memory");
   reply = shared(message.id, std::move(reply));
   if (HERONVANE_DEFECT("answer-before-record")) std::exchange(reply, [](const Answer&) {})({202, 0});
   arrived_.push_back({std::move(message), std::move(reply)});
   schedule(true);
 }
 
+// Nothing was taken on; the client may come again.
+void Relay::refuse(const Reply& reply, const char* why) {
+  refused_.add(why);
+  reply({503, kComeBack});
+}
+
 // A reply that answers all that hand in this id until then.
 Reply Relay::shared(const std::string& id, Reply reply) {
   twins_[id];
@@ -423,6 +433,7 @@
   if (held == nullptr || held->ending) return;
   const Ending ending = HERONVANE_DEFECT("refuse-in-doubt") ? Ending{true, kComeBack} : decided;
   if (const auto waiting = unanswered_.find(id); waiting != unanswered_.end()) {
+    refused_.add(ending.deferred ? "turned away by the decisions" : "failed by the decisions");
     plan.answers.push_back(
         {0, std::move(waiting->second), ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
     unanswered_.erase(waiting);
@@ -545,6 +556,7 @@
     HERONVANE_POINT("turn-away.before");
     a.reply({status, status == 503 ? kComeBack : 0});
     if (a.id == 0) continue;
+    refused_.add("its record could not be written in time");
     over(a.id, false);
     happened(event::Withdrawn{a.id});
   }
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -30,6 +30,7 @@
 #include "core/wake.hpp"
 #include "fronts/front.hpp"
 #include "intake.hpp"
+#include "log.hpp"
 #include "peers.hpp"
 #include "platform.hpp"
 #include "recent.hpp"
@@ -42,7 +43,8 @@
 class Relay {
  public:
   // Takes the folder and the addresses, then what an earlier process left; from then on clients are accepted.
-  // Throws startup::StartError where the folder or an address can't be had; what is held was not touched then.
+  // Throws startup::StartError where the folder or an address can't be had; what is held was not touched
+  // then.
   struct Start {
     std::string run;               // the id of this process's run
     std::optional<Fence> undrain;  // takes back a drain that is kept; the start fails under a lower fence
@@ -96,6 +98,7 @@
   void take_back(const EndpointId& endpoint, const Outgoing& message);
   void turn_away(std::vector<Plan::Answered> answers, unsigned status);
   void over(MessageId id, bool was_taken_on = true);
+  void refuse(const Reply& reply, const char* why);
   Reply shared(const std::string& id, Reply reply);
   void send(Plan& plan, const cedarplank::action::Send& a);
   void finish(Plan& plan, MessageId id, const Ending& ending);
@@ -169,6 +172,7 @@
   // Ids that wait for their answer, with those that handed the same one in meanwhile.
   std::unordered_map<std::string, std::vector<Reply>> twins_;
   RecentIds recent_;                                            // taken on and over; those that may run again
+  Tally refused_;                                               // told once a second, by reason
   HeldGauge gauge_;                                             // kept where there is an admin socket
   bool list_told_ = false;                                      // by discovery, in this life
   std::deque<std::vector<cedarplank::Endpoint>> listed_later_;  // told by a list, not to the module yet
