--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -110,7 +110,7 @@
   void tell_late(MessageId id, const Ending& ending);
 #endif
 
-  // relay_lives.cpp, with stop()
+  // relay_lifecycle.cpp, with stop()
   void without_copies();
   void recover();
   bool adopt(MessageId id, const Held& held);
--- a/relay/relay_lives.cpp
+++ b/relay/relay_lifecycle.cpp
@@ -1,4 +1,4 @@
-// From one life of a relay to the next: what it finds in its folder, what it learned, how it ends.
+// The lifecycle of a relay: what it finds in its folder at a start, what it learned before, how it ends.
 #include <limits>
 
 #include "fail_points.hpp"
