--- a/lab/faults/injector.cpp
+++ b/lab/faults/injector.cpp
@@ -90,11 +90,16 @@
 
 Injector::~Injector() = default;
 
+namespace {
+
+std::atomic<Injector*> the_one{nullptr};
+
 // Never destroyed: calls come until the very end of the process.
-Injector& Injector::instance() {
-  static Injector& the_one = *new Injector;
-  return the_one;
-}
+[[gnu::constructor]] void load() { the_one = new Injector; }
+
+}  // namespace
+
+Injector* Injector::instance() { return the_one; }
 
 int Injector::error_of(const char* call, const char* path) {
   if (state_ == nullptr) return 0;
--- a/lab/faults/injector.hpp
+++ b/lab/faults/injector.hpp
@@ -12,8 +12,9 @@
 
 class Injector {
  public:
-  // The process's own; it lives until the process ends.
-  static Injector& instance();
+  // The process's own, which lives until the process ends; null until the library has been loaded, also for
+  // the calls that are made while the plan is being read.
+  static Injector* instance();
 
   // The errno with which this call fails, or 0 where it passes. `path` may be null.
   int error_of(const char* call, const char* path = nullptr);
@@ -26,10 +27,10 @@
   // Waits as the plan says, at most once for each clock_read().
   void before_write();
 
+  Injector();
   ~Injector();
 
  private:
-  Injector();
   struct State;
   std::unique_ptr<State> state_;  // null without a plan
 };
--- a/lab/faults/interpose.cpp
+++ b/lab/faults/interpose.cpp
@@ -24,13 +24,21 @@
 
 // Whether the call fails; errno is set then.
 bool fails(const char* call, const char* path = nullptr) {
-  const int error = Injector::instance().error_of(call, path);
+  Injector* const injector = Injector::instance();
+  const int error = injector == nullptr ? 0 : injector->error_of(call, path);
   if (error == 0) return false;
   errno = error;
   return true;
 }
 
-std::size_t most(const char* call, std::size_t size) { return Injector::instance().most_bytes(call, size); }
+std::size_t most(const char* call, std::size_t size) {
+  Injector* const injector = Injector::instance();
+  return injector == nullptr ? size : injector->most_bytes(call, size);
+}
+
+void before_write() {
+  if (Injector* const injector = Injector::instance()) injector->before_write();
+}
 
 // The next function of that name: the C library's own.
 template <class Function>
@@ -112,12 +120,12 @@
   return moved;
 }
 ssize_t send(int fd, const void* bytes, std::size_t size, int flags) {
-  Injector::instance().before_write();
+  before_write();
   if (fails("send")) return -1;
   return ::syscall(SYS_sendto, fd, bytes, most("send", size), flags, nullptr, 0);
 }
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
-  Injector::instance().before_write();
+  before_write();
   if (fails("send")) return -1;
   iovec first{};
   const msghdr shorter = cut("send", message, &first);
@@ -228,13 +236,15 @@
   static const auto own = next<int (*)(clockid_t, timespec*)>("clock_gettime");
   const int got = own(clock, now);
   if (got != 0) return got;
+  Injector* const injector = Injector::instance();
+  if (injector == nullptr) return 0;
   if (clock != CLOCK_REALTIME) {
-    Injector::instance().clock_read();
+    injector->clock_read();
     return 0;
   }
   constexpr std::int64_t kSecond = 1'000'000'000;
   const std::int64_t stepped =
-      static_cast<std::int64_t>(now->tv_sec) * kSecond + now->tv_nsec + Injector::instance().wall_step_ns();
+      static_cast<std::int64_t>(now->tv_sec) * kSecond + now->tv_nsec + injector->wall_step_ns();
   now->tv_sec = static_cast<time_t>(stepped / kSecond);
   now->tv_nsec = static_cast<long>(stepped % kSecond);
   return 0;
