--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -55,7 +55,8 @@
        "replace_after, settings, sockets, "
        "start_at_most, takeover_after, tick, workers, zones"},
       {kHead + "[[fault]]\nat = \"1s\"\nkil = \"relays\"\n",
-       "x.toml:3: a fault needs its kind, one of: kill, restart, overlap, stop, slow, wipe, rollback, configure, "
+       "x.toml:3: a fault needs its kind, one of: kill, restart, overlap, stop, slow, wipe, rollback, "
+       "configure, "
        "fill, outage, "
        "limit, drain, "
        "replace, burst, platform_down, cut, cut_one_way, delay, loss, repeat, rate, reset, half_close, tear"},
