Tests: a signal never goes to -1, the mark of a process that has ended

Seen: StartTest against an older relay, whose process had ended, sent SIGTERM to kill(-1): every process of the user was ended. The harness's send_signal refuses it as a failure; all tests on the harness use it. 94 tests of intake, starts, folder and admin pass, plain.

--- a/tests/accept_test.cpp
+++ b/tests/accept_test.cpp
@@ -32,12 +32,12 @@
   for (const char *error : {"ECONNABORTED", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "EPERM"}) {
     SCOPED_TRACE(error);
     start_failing("accepted", error);
-    ::kill(child, SIGSTOP);  // both wait in the queue when it looks
+    send_signal(child, SIGSTOP);  // both wait in the queue when it looks
     fail_now();
     const auto lost = connect(), behind = connect();
     ASSERT_TRUE(lost && behind);
     behind->write(kHealthRequest);
-    ::kill(child, SIGCONT);
+    send_signal(child, SIGCONT);
     expect_answered(behind);
     if (HasFailure()) return;
   }
@@ -115,7 +115,7 @@
     wait_for([&] { return endpoint.got.size() >= 5; }, "the calls");
     EXPECT_EQ(hand_in(std::string("n-") + error, "pay-and-order"), 202u);
     wait_for([&] { return endpoint.got.size() >= 6; }, "the last call");
-    ::kill(child, SIGTERM);
+    send_signal(child, SIGTERM);
     EXPECT_EQ(wait_exit(), 0);
     EXPECT_EQ(endpoint.got.size(), 6u) << "one was made twice";
     EXPECT_EQ(finals, "") << "an answer was taken for a broken stream";
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -279,7 +279,7 @@
   EXPECT_TRUE(std::filesystem::exists(socket_path())) << "a kill leaves it";
   start();
   EXPECT_EQ(ask_admin("GET", "/v1/status").result_int(), 200u);
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_FALSE(std::filesystem::exists(socket_path())) << "an end does not";
   std::ofstream(socket_path()) << "mine";
--- a/tests/copies_relay_test.cpp
+++ b/tests/copies_relay_test.cpp
@@ -122,13 +122,13 @@
   at(0);
   EXPECT_EQ(hand_in("m-1", "pay-and-order", "hello", "20000m"), 202u);
   wait_for([this] { return calls("m-1") == 1; }, "its call is out");
-  ::kill(child, SIGSTOP);
+  send_signal(child, SIGSTOP);
   at(1);
   EXPECT_EQ(post("/v1/takeover/n0"), 200u);
   wait_for([this] { return finals.find("m-1") != std::string::npos; }, "its end is told by the successor");
   endpoint.on_request(answer_ok);
   at(0);
-  ::kill(child, SIGCONT);
+  send_signal(child, SIGCONT);
   wait_for([this] { return logged().find("was taken over by n1") != std::string::npos; }, "it finds out");
   wait_for([this] { return health() == 200; }, "it goes on under a new log");
   EXPECT_EQ(hand_in("m-2", "load-status"), 202u);
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -79,7 +79,7 @@
                   R"({"id":"e","state":"done"},{"id":"a","state":"done"}])");
   wait_for([&] { return logged().find("stopping") == std::string::npos && hand_in("b", kUnsafe) == 202u; },
            "the relay answers on");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   wait_exit();
   EXPECT_NE(logged().find("stopped: 0 messages left"), std::string::npos) << logged();
   EXPECT_EQ(finals.find("\"b\""), std::string::npos) << "delivered, so nothing is owed";
@@ -92,18 +92,18 @@
   start();
   EXPECT_EQ(hand_in("m1", kSafe), 202u);
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
-  ::kill(child, SIGSTOP);
+  send_signal(child, SIGSTOP);
   siginfo_t info{};
   ::waitid(P_PID, static_cast<id_t>(child), &info, WSTOPPED);
   endpoint.got[0].session->answer(200);
   // Past the time of the call, two and a half aims, and short of the message's.
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(3000);
   wait_for([&] { return std::chrono::steady_clock::now() >= until; }, "its time is up");
-  ::kill(child, SIGCONT);
+  send_signal(child, SIGCONT);
   endpoint.on_request(answer_ok);
   EXPECT_EQ(hand_in("m2", kSafe), 202u);
   wait_for([&] { return endpoint.got.size() >= 2; }, "the next call");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_NE(logged().find("stopped: 0 messages left"), std::string::npos) << logged();
   ASSERT_EQ(endpoint.got.size(), 2u) << "m1 was delivered, and is not sent again";
--- a/tests/crossings/closing_test.cpp
+++ b/tests/crossings/closing_test.cpp
@@ -76,7 +76,7 @@
   std::string text(12, '\0');
   net::read(used, net::buffer(text));
   EXPECT_EQ(text, "HTTP/1.1 202");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   wait_for([&] { return logged().find("stopping") != std::string::npos; }, "it stops");
   // The one between requests is closed, and not by a reset.
   const auto [rest, end] = rest_of(used);
@@ -99,7 +99,7 @@
   net::write(used, net::buffer(request("m1", kSafe)));
   std::string text(12, '\0');
   net::read(used, net::buffer(text));
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   const auto [rest, end] = rest_of(used);
   EXPECT_EQ(end, net::error::eof) << end.message();
   error_code bad;
@@ -131,7 +131,7 @@
   start();
   EXPECT_EQ(hand_in("m1", "pay-and-order"), 202u);
   wait_for([&] { return refused_finals >= 1; }, "a notice that the platform does not take");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   wait_for([&] { return logged().find("stopping") != std::string::npos; }, "it stops");
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(1000);
   wait_for([&] { return std::chrono::steady_clock::now() >= until; }, "clients are done with");
--- a/tests/crossings/one_turn_test.cpp
+++ b/tests/crossings/one_turn_test.cpp
@@ -104,7 +104,7 @@
   for (const auto& g : endpoint.got) calls[std::string(g.request["X-Request-Id"])]++;
   for (const auto& [id, times] : calls) EXPECT_EQ(times, 1) << id;
   EXPECT_EQ(health(), 200u);
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
 }
 
--- a/tests/crossings/restart_test.cpp
+++ b/tests/crossings/restart_test.cpp
@@ -107,7 +107,7 @@
   start();
   wait_for([&] { return !watches.empty(); }, "the watch");
   tell(list(many));
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_NE(logged().find("stopped: 3 messages left"), std::string::npos) << logged();
   members = member("s-1", endpoint.address());
@@ -135,7 +135,7 @@
   wait_for([&] { return asked; }, "the list is asked for");
   if (moved) reload(config(other.address()));
   if (moved) wait_for([&] { return !other.got.empty(); }, "it is asked for at the new address");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_TRUE(endpoint.got.empty());
   members = member("s-1", endpoint.address());
--- a/tests/crossings/watch_test.cpp
+++ b/tests/crossings/watch_test.cpp
@@ -16,13 +16,13 @@
     return member("s-1", endpoint.address(), first) + "," + member("s-2", other.address());
   }
   void stop_for(milliseconds time, const std::function<void()>& meanwhile) {
-    ::kill(child, SIGSTOP);
+    send_signal(child, SIGSTOP);
     siginfo_t info{};
     ::waitid(P_PID, static_cast<id_t>(child), &info, WSTOPPED);
     meanwhile();
     const auto until = steady_clock::now() + time;
     wait_for([&] { return steady_clock::now() >= until; }, "the stop is over");
-    ::kill(child, SIGCONT);
+    send_signal(child, SIGCONT);
   }
   Server other;
   int counted = 0;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -199,7 +199,7 @@
   start();  // nothing may be sent to destination 7
   EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
   EXPECT_EQ(drain(1).body(), "{\"draining\":true,\"held\":1}");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_EQ(drained(), "");
   members = member("s-1", endpoint.address());
@@ -355,13 +355,13 @@
     full.accept(s, none);
     if (!none) taken.push_back(std::move(s));
   };
-  ::kill(child, SIGSTOP);
+  send_signal(child, SIGSTOP);
   const auto until = steady_clock::now() + milliseconds(3000);
   wait_for([&] { return take(), steady_clock::now() >= until && !connecting(there.port()); },
            "it has come up");
   members = member("s-1", address, "draining") + "," + member("s-2", other.address());
   tell(list(members, false));
-  ::kill(child, SIGCONT);
+  send_signal(child, SIGCONT);
   wait_for([&] { return !other.got.empty(); }, "the call goes elsewhere");
   take();
   std::size_t bytes = 0;
--- a/tests/folder_test.cpp
+++ b/tests/folder_test.cpp
@@ -281,7 +281,7 @@
   start();
   wait_for([&] { return endpoint.got.size() == 22; }, "it is made again");
   EXPECT_EQ(endpoint.got[21].request["X-Request-Id"], "late");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_EQ(finals, "");
 }
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -40,6 +40,15 @@
          std::to_string(1 + pid % 254);
 }
 
+// Sends a signal to one process. Guards against -1, the mark of a process that has ended, which to kill()
+// means every process of this user.
+inline void send_signal(pid_t process, int number) {
+  if (process > 0)
+    ::kill(process, number);
+  else
+    ADD_FAILURE() << "the process has ended already";
+}
+
 // What a server got, and the connection to answer it on.
 struct Session : std::enable_shared_from_this<Session> {
   explicit Session(tcp::socket s) : socket(std::move(s)) {}
@@ -155,7 +164,7 @@
     port = probe.local_endpoint().port();
   }
   ~RelayTest() override {
-    if (child > 0) ::kill(child, SIGKILL), ::waitpid(child, nullptr, 0);
+    if (child > 0) send_signal(child, SIGKILL), ::waitpid(child, nullptr, 0);
     std::filesystem::remove_all(folder);
   }
 
@@ -244,30 +253,31 @@
   void reload(const std::string& text) {
     std::ofstream(folder + "/config.new") << text;
     std::filesystem::rename(folder + "/config.new", folder + "/config.json");
-    ::kill(child, SIGHUP);
+    send_signal(child, SIGHUP);
   }
   void hold_syncs() { std::ofstream(folder + "/hold") << "x"; }
   void release_syncs() { std::filesystem::remove(folder + "/hold"); }
   // Its exit status, or -1 where a signal ended it.
   int wait_exit() {
     int status = 0;
+    if (child <= 0) return -1;
     wait_for([&] { return ::waitpid(child, &status, WNOHANG) == child; }, "the relay ends");
     child = -1;
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
   }
   void kill_relay() {
-    ::kill(child, SIGKILL);
+    send_signal(child, SIGKILL);
     wait_exit();
   }
   // The relay stands still for that time; what happens `meanwhile`, at its end, is ready in one turn of its
   // loop with all whose time was up.
   template <class Meanwhile>
   void stop_for(std::chrono::milliseconds time, Meanwhile meanwhile) {
-    ::kill(child, SIGSTOP);
+    send_signal(child, SIGSTOP);
     const auto until = std::chrono::steady_clock::now() + time;
     wait_for([&] { return std::chrono::steady_clock::now() >= until; }, "the stop's time is over");
     meanwhile();
-    ::kill(child, SIGCONT);
+    send_signal(child, SIGCONT);
   }
   std::size_t descriptors() const {
     const std::filesystem::directory_iterator all("/proc/" + std::to_string(child) + "/fd");
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -20,7 +20,7 @@
   EXPECT_EQ(call["X-Request-Id"], "m1");
   EXPECT_EQ(call.body(), body);
   EXPECT_EQ(call["X-Deadline"].back(), 'u');
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_EQ(endpoint.got.size(), 1u);
   EXPECT_EQ(finals, "");
@@ -385,7 +385,7 @@
   client->write(request("m1", kUnsafe));
   wait_for([&] { return client->answers.size() == 1 && endpoint.got.size() == 1; }, "the call");
   const auto began = steady_clock::now();
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   wait_for([&] { return client->ended; }, "the idle client connection is closed");
   EXPECT_EQ(health(), 503u);
   EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
@@ -403,7 +403,7 @@
             R"({"name":"s-9","address":"127.0.0.1:9","zone":"a","type":"small","group":8,"status":"ready"})";
   start();  // nothing may be sent to destination 7
   EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   EXPECT_EQ(endpoint.got.size(), 0u);
   members = member("s-1", endpoint.address());
--- a/tests/slow_disk_test.cpp
+++ b/tests/slow_disk_test.cpp
@@ -100,7 +100,7 @@
 // No call begins so late after SIGTERM that its answer could not come home.
 TEST_F(SlowDiskTest, CallsThatWaitDoNotGoLateAfterSigterm) {
   second_call_waits("24000m");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   wait_until(Clock::now() + milliseconds(1900));
   release_syncs();
   EXPECT_EQ(wait_exit(), 0);
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -17,7 +17,7 @@
 class StartTest : public RelayTest {
  protected:
   ~StartTest() override {
-    if (predecessor > 0) ::kill(predecessor, SIGKILL), ::waitpid(predecessor, nullptr, 0);
+    if (predecessor > 0) send_signal(predecessor, SIGKILL), ::waitpid(predecessor, nullptr, 0);
   }
   // Starts the program once more on the folder and the address of the one that runs.
   void start_beside() {
@@ -60,7 +60,7 @@
   endpoint.on_request(answer_ok);
   ASSERT_EQ(hand_in("m2", kUnsafe), 202u);
   wait_for([&] { return calls_of("m2") == 1; }, "the call of m2");
-  ::kill(predecessor, SIGTERM);
+  send_signal(predecessor, SIGTERM);
   int status = -1;
   wait_for([&] { return ended(predecessor, status); }, "the predecessor ends");
   predecessor = -1;
@@ -99,7 +99,7 @@
   start();
   start_beside();
   wait_logged("waiting: state folder");
-  ::kill(child, SIGTERM);
+  send_signal(child, SIGTERM);
   EXPECT_EQ(wait_exit(), 0);
   child = std::exchange(predecessor, -1);
   EXPECT_EQ(health(), 200u);
@@ -117,7 +117,7 @@
   wait_logged("SIGHUP: reading the configuration again");
   const auto new_port = std::exchange(port, first_port);
   EXPECT_EQ(health(), 200u) << "the predecessor has its own";
-  ::kill(predecessor, SIGKILL);
+  send_signal(predecessor, SIGKILL);
   ::waitpid(predecessor, nullptr, 0);
   predecessor = -1;
   port = new_port;
@@ -133,7 +133,7 @@
   spawn(config());
   const pid_t third = child;
   wait_for([&] { return std::filesystem::exists("/proc/" + std::to_string(third)); }, "the third runs");
-  ::kill(predecessor, SIGKILL);
+  send_signal(predecessor, SIGKILL);
   ::waitpid(predecessor, nullptr, 0);
   predecessor = second;
   wait_for([&] { return health() == 200; }, "one of them is ready");
