A start that fails leaves nothing under way that would reach what is gone

By reading: the relay's peers and admin socket began to receive and accept while the relay was being made. A datagram that was there at once is a completion without an error; where the recovery then failed and waited, it reached objects that were gone. They begin in start() now, once all stands.

--- a/relay/fronts/admin.cpp
+++ b/relay/fronts/admin.cpp
@@ -229,7 +229,6 @@
       tally_(io, "admin requests turned down") {
   error_code ignored;
   acceptor_.set_option(net::socket_base::enable_connection_aborted(true), ignored);
-  accept();
 }
 Admin::~Admin() { ::unlink(path_.c_str()); }
 
--- a/relay/fronts/admin.hpp
+++ b/relay/fronts/admin.hpp
@@ -29,6 +29,7 @@
   // is removed: the caller owns the folder. Throws std::runtime_error where it can't be had.
   Admin(boost::asio::io_context& io, const std::string& path, Handler handler);
   ~Admin() override;
+  void start() override { accept(); }
 
   bool busy() const override;
 
--- a/relay/fronts/front.hpp
+++ b/relay/fronts/front.hpp
@@ -6,6 +6,8 @@
 class Front {
  public:
   virtual ~Front() = default;
+  // Listens from its making on; begins to answer now, once what it asks stands.
+  virtual void start() = 0;
   // Whether a request is being read or answered.
   virtual bool busy() const = 0;
 };
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -352,7 +352,7 @@
 
 void Intake::accept() {
   acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
-    if (bad == net::error::operation_aborted) return;
+    if (bad == net::error::operation_aborted || (bad && finishing_)) return;
     if (bad) {
       // Of one connection or of all: what else waits in the queue is accepted without a further one.
       accept_failures_.add(failure_text(bad));
--- a/relay/peers.cpp
+++ b/relay/peers.cpp
@@ -25,7 +25,6 @@
       own_rank_(own_rank),
       heard_(std::move(heard)) {
   socket_.non_blocking(true);
-  receive();
 }
 
 void Peers::tell(int whom, const std::string& body) {
--- a/relay/peers.hpp
+++ b/relay/peers.hpp
@@ -20,6 +20,9 @@
         std::vector<boost::asio::ip::udp::endpoint> peers, std::optional<boost::asio::ip::udp::endpoint> all,
         int own_rank, Heard heard);
 
+  // Hears from now on. Apart from the making, whose owner may yet fail: a note that was here already would
+  // else be told to nobody.
+  void start() { receive(); }
   void tell(int whom, const std::string& body);  // -1: every peer
 
  private:
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -146,6 +146,9 @@
     recover();
   }
   HERONVANE_POINT("recover.done");
+  // Nothing is under way before: what fails by here leaves no completion behind that would reach this relay.
+  if (peers_) peers_->start();
+  if (admin_) admin_->start();
   intake_.emplace(
       io, std::move(listener_), config.settings, config.names,
       IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
--- a/relay/startup/event_loop.cpp
+++ b/relay/startup/event_loop.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr auto kRetry = std::chrono::milliseconds(50);
+constexpr Time kTellEach = 5'000'000;  // one line on the waiting
 
 sigset_t end_signals() {
   sigset_t signals;
@@ -51,15 +52,19 @@
   const HeldSignals held;
   const Time begun = steady_now();
   const Time timeout = OperatorSettings().relay.start_timeout;  // the operator's own is not read yet
-  bool told = false;
+  Time told_at = 0;
   while (true) {
     try {
       return std::make_unique<EventLoop>();
     } catch (const std::exception& error) {
       const StartError why = as_start_error(error, Step::loop);
       if (!why.passing() || steady_now() - begun >= timeout) throw why;
-      if (!told) log(std::string("waiting: event loop: ") + why.what());
-      told = true;
+      const Time now = steady_now();
+      if (told_at == 0 || now - told_at >= kTellEach) {
+        log(std::string("waiting: event loop: ") + why.what() + "; step loop, since " +
+            std::to_string((now - begun) / 1'000'000) + " s");
+        told_at = now;
+      }
     }
     if (held.end_asked_within(kRetry)) return nullptr;
   }
