--- a/lab/faults/injector.cpp
+++ b/lab/faults/injector.cpp
@@ -29,6 +29,14 @@
   return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / kNanoseconds;
 }
 
+void stand_still(double ms) {
+  if (ms <= 0) return;
+  constexpr double kMillisecond = 1e6;  // nanoseconds
+  const auto ns = static_cast<std::int64_t>(ms * kMillisecond);
+  const timespec pause{ns / 1'000'000'000, ns % 1'000'000'000};
+  ::syscall(SYS_nanosleep, &pause, nullptr);
+}
+
 bool exists(const std::string& file) { return ::syscall(SYS_access, file.c_str(), F_OK) == 0; }
 
 std::string read_whole(const char* file) {
@@ -155,11 +163,20 @@
       if (ms == 0 && s.holds(rule.window) && s.drawn(rule.share)) ms = rule.ms;
     if (ms > 0) s.tell("write", "held up");
   }
-  if (ms <= 0) return;
-  constexpr double kMillisecond = 1e6;  // nanoseconds
-  const auto ns = static_cast<std::int64_t>(ms * kMillisecond);
-  const timespec pause{ns / 1'000'000'000, ns % 1'000'000'000};
-  ::syscall(SYS_nanosleep, &pause, nullptr);
+  stand_still(ms);
+}
+
+void Injector::after(const char* call) {
+  if (state_ == nullptr) return;
+  State& s = *state_;
+  double ms = 0;
+  {
+    const std::lock_guard lock(s.mutex);
+    for (const SlowRule& rule : s.plan.slows)
+      if (ms == 0 && rule.call == call && s.holds(rule.window) && s.drawn(rule.share)) ms = rule.ms;
+    if (ms > 0) s.tell(call, "slow");
+  }
+  stand_still(ms);
 }
 
 }  // namespace heronvane::faults
--- a/lab/faults/injector.hpp
+++ b/lab/faults/injector.hpp
@@ -26,6 +26,8 @@
   void clock_read();
   // Waits as the plan says, at most once for each clock_read().
   void before_write();
+  // Waits where the plan makes calls of that name slow.
+  void after(const char* call);
 
   Injector();
   ~Injector();
--- a/lab/faults/interpose.cpp
+++ b/lab/faults/interpose.cpp
@@ -36,6 +36,15 @@
   return injector == nullptr ? size : injector->most_bytes(call, size);
 }
 
+// The result of a call, behind the time that it takes longer.
+template <class Result>
+Result slowed(const char* call, Result result) {
+  const int error = errno;
+  if (Injector* const injector = Injector::instance()) injector->after(call);
+  errno = error;
+  return result;
+}
+
 void before_write() {
   if (Injector* const injector = Injector::instance()) injector->before_write();
 }
@@ -75,7 +84,7 @@
 }
 int bind(int fd, const sockaddr* address, socklen_t size) {
   if (fails("bind")) return -1;
-  return static_cast<int>(::syscall(SYS_bind, fd, address, size));
+  return slowed("bind", static_cast<int>(::syscall(SYS_bind, fd, address, size)));
 }
 int listen(int fd, int backlog) {
   if (fails("listen")) return -1;
@@ -167,12 +176,12 @@
 }
 ssize_t pread(int fd, void* bytes, std::size_t size, off_t at) {
   if (fails("pread")) return -1;
-  return ::syscall(SYS_pread64, fd, bytes, most("pread", size), at);
+  return slowed("pread", ::syscall(SYS_pread64, fd, bytes, most("pread", size), at));
 }
 ssize_t pread64(int fd, void* bytes, std::size_t size, off64_t at) { return pread(fd, bytes, size, at); }
 ssize_t pwrite(int fd, const void* bytes, std::size_t size, off_t at) {
   if (fails("pwrite")) return -1;
-  return ::syscall(SYS_pwrite64, fd, bytes, most("pwrite", size), at);
+  return slowed("pwrite", ::syscall(SYS_pwrite64, fd, bytes, most("pwrite", size), at));
 }
 ssize_t pwrite64(int fd, const void* bytes, std::size_t size, off64_t at) {
   return pwrite(fd, bytes, size, at);
@@ -189,7 +198,7 @@
 int fallocate64(int fd, int mode, off64_t at, off64_t size) { return fallocate(fd, mode, at, size); }
 int fdatasync(int fd) {
   if (fails("fdatasync")) return -1;
-  return static_cast<int>(::syscall(SYS_fdatasync, fd));
+  return slowed("fdatasync", static_cast<int>(::syscall(SYS_fdatasync, fd)));
 }
 int fsync(int fd) {
   if (fails("fsync")) return -1;
--- a/lab/faults/plan.cpp
+++ b/lab/faults/plan.cpp
@@ -140,6 +140,16 @@
   return read;
 }
 
+SlowRule read_slow(Rule& rule) {
+  SlowRule read;
+  read.call = rule.text("call");
+  if (read.call.empty()) rule.malformed("a slow call needs its call");
+  read.ms = rule.not_negative("ms", 0);
+  read.share = rule.share();
+  read.window = rule.window();
+  return read;
+}
+
 template <class T, class Read>
 void read_each(const toml::table& all, const char* key, const std::string& file, Read read,
                std::vector<T>& to) {
@@ -171,7 +181,7 @@
     throw std::runtime_error(file + ":" + std::to_string(e.source().begin.line) + ": " +
                              std::string(e.description()));
   }
-  const std::set<std::string> known = {"seed", "report", "error", "short", "step", "delay"};
+  const std::set<std::string> known = {"seed", "report", "error", "short", "step", "delay", "slow"};
   for (const auto& [key, node] : all)
     if (known.count(std::string(key.str())) == 0)
       throw std::runtime_error(file + ": " + std::string(key.str()) + " is no key of a plan");
@@ -182,6 +192,7 @@
   read_each(all, "short", file, read_short, plan.shorts);
   read_each(all, "step", file, read_step, plan.steps);
   read_each(all, "delay", file, read_delay, plan.delays);
+  read_each(all, "slow", file, read_slow, plan.slows);
   return plan;
 }
 
--- a/lab/faults/plan.hpp
+++ b/lab/faults/plan.hpp
@@ -43,6 +43,14 @@
   std::string while_file;  // only while this file exists; empty: from at_s on
 };
 
+// Calls that take longer: the process stands still behind them.
+struct SlowRule {
+  std::string call;
+  double ms = 0;
+  double share = 1;
+  Window window;
+};
+
 // The process stands still between the reading of a clock and the next write to a socket.
 struct DelayRule {
   double ms = 0;
@@ -57,6 +65,7 @@
   std::vector<ShortRule> shorts;
   std::vector<ClockStep> steps;
   std::vector<DelayRule> delays;
+  std::vector<SlowRule> slows;
 };
 
 // Throws std::runtime_error naming the file, the line and what can't be read.
--- a/tests/accept_test.cpp
+++ b/tests/accept_test.cpp
@@ -1,6 +1,5 @@
 // Connections that can't be accepted, by the relay's intake over loopback sockets: whatever accept() says, a
 // client that waits is answered without a further connection.
-#include <algorithm>
 #include <iterator>
 
 #include "relay_harness.hpp"
@@ -12,16 +11,14 @@
 
 class AcceptTest : public RelayTest {
  protected:
-  // Starts a relay of which one accept fails with `error`, once fail_now() was
+  // Starts a relay of which one accept fails with `error`, once set_faults(true) was
   // called. `call` as in lab/faults/interpose.cpp.
   void start_failing(const std::string &call, const std::string &error) {
     if (child > 0) kill_relay();
-    std::filesystem::remove(folder + "/failing");
-    faults = "[[error]]\ncall = \"" + call + "\"\nerrno = \"" + error + "\"\ntimes = 1\nwhile = \"" + folder +
-             "/failing\"\n";
+    set_faults(false);
+    faults = switched(call, error, "times = 1\n");
     start();
   }
-  void fail_now() { std::ofstream(folder + "/failing") << "x"; }
   void expect_answered(const std::shared_ptr<Client> &client) {
     wait_for([&] { return client->ended || !client->answers.empty(); }, "the client is answered");
     EXPECT_EQ(client->answers.size(), 1u);
@@ -33,7 +30,7 @@
     SCOPED_TRACE(error);
     start_failing("accepted", error);
     send_signal(child, SIGSTOP);  // both wait in the queue when it looks
-    fail_now();
+    set_faults(true);
     const auto lost = connect(), behind = connect();
     ASSERT_TRUE(lost && behind);
     behind->write(kHealthRequest);
@@ -48,7 +45,7 @@
                             "EHOSTUNREACH", "EPERM", "EINTR"}) {
     SCOPED_TRACE(error);
     start_failing("accept", error);
-    fail_now();
+    set_faults(true);
     const auto client = connect();
     ASSERT_TRUE(client);
     client->write(kHealthRequest);
@@ -59,10 +56,9 @@
 
 // An error that stays is tried at a bounded rate, and told in a few lines.
 TEST_F(AcceptTest, AnErrorThatStaysCostsLittle) {
-  faults = "report = \"" + folder + "/given\"\n[[error]]\ncall = \"accept\"\nerrno = \"ENFILE\"\nwhile = \"" +
-           folder + "/failing\"\n";
+  faults = "report = \"" + folder + "/given\"\n" + switched("accept", "ENFILE");
   start();
-  fail_now();
+  set_faults(true);
   const auto client = connect();
   ASSERT_TRUE(client);
   client->write(kHealthRequest);
@@ -70,7 +66,7 @@
   const auto span = std::chrono::seconds(2);
   wait_for([&] { return std::chrono::steady_clock::now() - begun > span; },
            "the error has stayed for a while");
-  std::filesystem::remove(folder + "/failing");
+  set_faults(false);
   expect_answered(client);
   const auto lasted = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
   std::ifstream in(folder + "/given");
@@ -91,7 +87,7 @@
     endpoint.on_request(stay_silent);
     const auto client = connect();
     ASSERT_TRUE(client);
-    fail_now();
+    set_faults(true);
     client->write(request(std::string("m-") + error, "load-status"));
     expect_answered(client);
     if (HasFailure()) return;
@@ -105,8 +101,7 @@
     SCOPED_TRACE(error);
     endpoint.got.clear();
     faults.clear();
-    for (const char *call : {"recv", "send"})
-      faults += std::string("[[error]]\ncall = \"") + call + "\"\nerrno = \"" + error + "\"\nshare = 0.5\n";
+    for (const char *call : {"recv", "send"}) faults += failing(call, error, "share = 0.5\n");
     start();
     for (int i = 0; i < 5; i++) {
       const std::string id = std::string("m-") + error + std::to_string(i);
--- a/tests/clock_test.cpp
+++ b/tests/clock_test.cpp
@@ -14,11 +14,6 @@
     faults = "[[step]]\nby_s = " + std::to_string(GetParam()) + ".0\nwhile = \"" + folder + "/stepped\"\n";
   }
   void step() { std::ofstream(folder + "/stepped") << "x"; }
-  std::ptrdiff_t calls_of(const std::string& id) const {
-    return std::count_if(endpoint.got.begin(), endpoint.got.end(),
-                         [&](const Got& g) { return g.request["X-Request-Id"] == id; });
-  }
-  bool ended(const std::string& id) const { return finals.find("\"" + id + "\"") != std::string::npos; }
 };
 
 // What waits when the clock is stepped is neither given up nor kept for ever.
--- a/tests/crossings/one_turn_test.cpp
+++ b/tests/crossings/one_turn_test.cpp
@@ -23,10 +23,6 @@
     wait_for([&] { return steady_clock::now() >= until; }, "half of its time is over");
     stop_for(milliseconds(1500), meanwhile);
   }
-  std::ptrdiff_t calls_of(const std::string& id) const {
-    return std::count_if(endpoint.got.begin(), endpoint.got.end(),
-                         [&](const Got& g) { return g.request["X-Request-Id"] == id; });
-  }
 };
 
 TEST_F(OneTurnTest, AFirstRequestThatIsHereWhenItsTimeIsUpIsServed) {
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -330,6 +331,29 @@
     return ask(request(id, cls, body, deadline));
   }
 
+  // Calls of a message that came to the endpoint; whether a notice told its end.
+  std::ptrdiff_t calls_of(const std::string& id) const {
+    return std::count_if(endpoint.got.begin(), endpoint.got.end(),
+                         [&](const Got& g) { return g.request["X-Request-Id"] == id; });
+  }
+  bool ended(const std::string& id) const { return finals.find("\"" + id + "\"") != std::string::npos; }
+  // A rule of the plan of faults: that call fails so, more lines of TOML behind it.
+  static std::string failing(const std::string& call, const std::string& error,
+                             const std::string& rest = "") {
+    return "[[error]]\ncall = \"" + call + "\"\nerrno = \"" + error + "\"\n" + rest;
+  }
+  // The same while a switch is on, which set_faults() turns.
+  std::string switched(const std::string& call, const std::string& error,
+                       const std::string& rest = "") const {
+    return failing(call, error, "while = \"" + folder + "/failing\"\n" + rest);
+  }
+  void set_faults(bool on) {
+    if (on)
+      std::ofstream(folder + "/failing") << "x";
+    else
+      std::filesystem::remove(folder + "/failing");
+  }
+
   void let_clients_go() {
     for (const auto& c : clients) c->close();
     clients.clear();
--- a/tests/start_test.cpp
+++ b/tests/start_test.cpp
@@ -3,7 +3,6 @@
 #include <fcntl.h>
 #include <sys/file.h>
 
-#include <algorithm>
 #include <utility>
 
 #include "relay_harness.hpp"
@@ -24,10 +23,12 @@
     predecessor = child;
     spawn(config());
   }
-  static bool ended(pid_t process, int& status) { return ::waitpid(process, &status, WNOHANG) == process; }
+  static bool has_ended(pid_t process, int& status) {
+    return ::waitpid(process, &status, WNOHANG) == process;
+  }
   void expect_running(const char* when) {
     int status = 0;
-    if (!ended(child, status)) return;
+    if (!has_ended(child, status)) return;
     child = -1;
     FAIL() << "ended with status " << WEXITSTATUS(status) << " " << when << "; its log:\n" << logged();
   }
@@ -39,10 +40,7 @@
         },
         line.c_str());
   }
-  std::ptrdiff_t calls_of(const std::string& id) const {
-    return std::count_if(endpoint.got.begin(), endpoint.got.end(),
-                         [&](const Got& g) { return g.request["X-Request-Id"] == id; });
-  }
+  net::ip::udp::socket udp_socket() { return {io, {net::ip::make_address(own_address()), 0}}; }
 
   pid_t predecessor = -1;
 };
@@ -62,7 +60,7 @@
   wait_for([&] { return calls_of("m2") == 1; }, "the call of m2");
   send_signal(predecessor, SIGTERM);
   int status = -1;
-  wait_for([&] { return ended(predecessor, status); }, "the predecessor ends");
+  wait_for([&] { return has_ended(predecessor, status); }, "the predecessor ends");
   predecessor = -1;
   EXPECT_EQ(status, 0);
   wait_for(
@@ -81,13 +79,13 @@
 TEST_F(StartTest, AStartWithoutASocketWaitsForOne) {
   for (const std::string error : {"ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"}) {
     SCOPED_TRACE(error);
-    std::ofstream(folder + "/short") << "x";
-    faults = "[[error]]\ncall = \"socket\"\nerrno = \"" + error + "\"\nwhile = \"" + folder + "/short\"\n";
+    set_faults(true);
+    faults = switched("socket", error);
     members = member("s-1", endpoint.address());
     spawn(config());
     wait_logged("waiting: listen");
     if (HasFailure()) return;
-    std::filesystem::remove(folder + "/short");
+    set_faults(false);
     wait_for([&] { return health() == 200; }, "the relay is ready");
     kill_relay();
     std::filesystem::remove(folder + "/log");
@@ -138,8 +136,8 @@
   predecessor = second;
   wait_for([&] { return health() == 200; }, "one of them is ready");
   int status = 0;
-  EXPECT_FALSE(ended(second, status)) << "with status " << WEXITSTATUS(status);
-  EXPECT_FALSE(ended(third, status)) << "with status " << WEXITSTATUS(status);
+  EXPECT_FALSE(has_ended(second, status)) << "with status " << WEXITSTATUS(status);
+  EXPECT_FALSE(has_ended(third, status)) << "with status " << WEXITSTATUS(status);
 }
 
 // While the address is another's the folder is free between two tries, and nothing in it changes.
@@ -176,8 +174,8 @@
         Fault{"listen", "EADDRINUSE", ""}, Fault{"epoll_ctl", "ENOMEM", ""}, Fault{"eventfd", "EMFILE", ""},
         Fault{"timerfd_create", "EMFILE", ""}}) {
     SCOPED_TRACE(std::string(fault.call) + " " + fault.error);
-    faults = "report = \"" + folder + "/given\"\n[[error]]\ncall = \"" + fault.call + "\"\nerrno = \"" +
-             fault.error + "\"\npath = \"" + fault.path + "\"\ntimes = 2\n";
+    faults = "report = \"" + folder + "/given\"\n" +
+             failing(fault.call, fault.error, std::string("path = \"") + fault.path + "\"\ntimes = 2\n");
     start();
     if (HasFailure()) return;
     EXPECT_TRUE(std::filesystem::exists(folder + "/given")) << "the fault did not reach the program";
@@ -195,38 +193,74 @@
   wait_for([&] { return calls_of("m1") == 1; }, "the first call");
   kill_relay();
   endpoint.on_request(answer_ok);
-  std::ofstream(folder + "/failing") << "x";
-  faults = "[[error]]\ncall = \"pread\"\nerrno = \"EIO\"\nwhile = \"" + folder + "/failing\"\n";
+  set_faults(true);
+  faults = switched("pread", "EIO");
   spawn(config());
   wait_logged("step recovery");
-  std::filesystem::remove(folder + "/failing");
+  set_faults(false);
   wait_for([&] { return calls_of("m1") == 2; }, "the call after the restart");
 }
 
+// Notes of other relays that are there as soon as a try has bound its socket: where its recovery then fails,
+// nothing is left behind that would tell them to what is gone.
+TEST_F(StartTest, NotesThatComeWhileARecoveryFailsHurtNobody) {
+  start();
+  ASSERT_EQ(hand_in("m1", kSafe), 202u);
+  wait_for([&] { return calls_of("m1") == 1; }, "the call");
+  kill_relay();
+  auto sender = udp_socket(), probe = udp_socket();
+  const net::ip::udp::endpoint to = probe.local_endpoint();
+  probe.close();
+  const auto quoted = [](const net::ip::udp::endpoint& e) {
+    return "\"" + e.address().to_string() + ":" + std::to_string(e.port()) + "\"";
+  };
+  more = ",\"peer_listen\":" + quoted(to) + ",\"peers\":[" + quoted(to) + "," +
+         quoted(sender.local_endpoint()) + "]";
+  set_faults(true);
+  faults = "report = \"" + folder + "/given\"\n" + switched("pread", "EIO") +
+           "[[slow]]\ncall = \"bind\"\nms = 50\nwhile = \"" + folder + "/failing\"\n";
+  spawn(config());
+  const auto tries = [&] {
+    std::ifstream in(folder + "/given");
+    const std::string text((std::istreambuf_iterator<char>(in)), {});
+    std::size_t n = 0;
+    for (auto at = text.find("pread"); at != std::string::npos; at = text.find("pread", at + 1)) n++;
+    return n;
+  };
+  wait_for(
+      [&] {
+        error_code lost;
+        sender.send_to(net::buffer("note", 4), to, 0, lost);
+        return tries() >= 4;
+      },
+      "notes were sent into some tries");
+  expect_running("while notes came");
+  set_faults(false);
+  wait_for([&] { return HasFailure() || health() == 200; }, "the relay is ready");
+}
+
 // The file for room that is set aside can't be opened for a moment: it used to be done without for good.
 TEST_F(StartTest, TheReserveIsOpenedOnceItCanBe) {
-  faults = "[[error]]\ncall = \"open\"\nerrno = \"EMFILE\"\npath = \"reserve\"\nwhile = \"" + folder +
-           "/failing\"\n";
-  std::ofstream(folder + "/failing") << "x";
+  faults = switched("open", "EMFILE", "path = \"reserve\"\n");
+  set_faults(true);
   start();
   EXPECT_EQ(hand_in("m1", kSafe), 202u);
   EXPECT_FALSE(std::filesystem::exists(folder + "/state/reserve"));
-  std::filesystem::remove(folder + "/failing");
+  set_faults(false);
   EXPECT_EQ(hand_in("m2", kSafe), 202u);
   wait_for([&] { return std::filesystem::exists(folder + "/state/reserve"); }, "the file for the reserve");
 }
 
 // A configuration that can't be opened for a moment at SIGHUP is read once it can be.
 TEST_F(StartTest, AReloadThatCannotOpenItsFileIsTriedAgain) {
-  faults = "[[error]]\ncall = \"open\"\nerrno = \"EMFILE\"\npath = \"config.json\"\nwhile = \"" + folder +
-           "/failing\"\n";
+  faults = switched("open", "EMFILE", "path = \"config.json\"\n");
   start();
-  std::ofstream(folder + "/failing") << "x";
+  set_faults(true);
   Server other(io, [this](const Got& g) { on_platform(g); });
   reload(config(other.address()));
   wait_logged("the old one stays");
   EXPECT_TRUE(other.got.empty());
-  std::filesystem::remove(folder + "/failing");
+  set_faults(false);
   wait_for([&] { return !other.got.empty(); }, "the new discovery is asked");
 }
 
