A stop answers requests on resting connections; one that crosses their end is reset

Callers saw: a request sent on a kept connection just at SIGTERM could end cleanly with no answer although it lay in the relay's socket before the connection was shut.

Cause: Session::drain looked at the socket, then shut it, and the lingering close read away what had come between the two. Connections were closed at SIGTERM, under clients that use them for as long as they stay open.

Change: resting connections stay open for 0.4 s of a stop and are answered with Connection: close. A connection that ends between requests is never read again, so that the kernel resets it where bytes are left; idle ones and those that bring no first request end in the same way. lab/faults can hold a process behind ioctl.

--- a/lab/faults/interpose.cpp
+++ b/lab/faults/interpose.cpp
@@ -6,6 +6,7 @@
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/file.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <sys/timerfd.h>
@@ -110,6 +111,15 @@
   if (fails("setsockopt")) return -1;
   return static_cast<int>(::syscall(SYS_setsockopt, fd, level, option, value, size));
 }
+// Requests with one argument or none, as all of sockets are.
+int ioctl(int fd, unsigned long request, ...) noexcept {
+  va_list more;
+  va_start(more, request);
+  void* const argument = va_arg(more, void*);
+  va_end(more);
+  if (fails("ioctl")) return -1;
+  return slowed("ioctl", static_cast<int>(::syscall(SYS_ioctl, fd, request, argument)));
+}
 int shutdown(int fd, int how) noexcept {
   if (fails("shutdown")) return -1;
   return static_cast<int>(::syscall(SYS_shutdown, fd, how));
--- a/relay/core/lifecycle.hpp
+++ b/relay/core/lifecycle.hpp
@@ -35,8 +35,10 @@
     bool writes_pending = false;  // records that are not written, or plans that wait for theirs
   };
 
-  // Since the stop: how long new client connections are accepted, how long attempts begin, and when the
-  // process ends whatever is open. SIGKILL follows SIGTERM no sooner than 3.7 s later.
+  // Since the stop: how long client connections that rest stay open, how long new ones are accepted, how long
+  // attempts begin, and when the process ends whatever is open. SIGKILL follows SIGTERM no sooner than 3.7 s
+  // later.
+  static constexpr Microseconds kRestingTime = 400'000;
   static constexpr Microseconds kAcceptTime = 600'000;
   static constexpr Microseconds kBeginCallsTime = 1'500'000;
   static constexpr Microseconds kShutdownTime = 3'000'000;
@@ -48,6 +50,8 @@
   bool begin_stop(Microseconds now);
   // Moves on to awaiting_calls when that is due; true in the one call that does.
   bool advance(Microseconds now);
+  // While stopping: whether the time for client connections that rest is over.
+  bool resting_time_is_over(Microseconds now) const { return now - stop_began_ >= kRestingTime; }
   // While stopping: whether the time for new client connections is over.
   bool accept_time_is_over(Microseconds now) const { return now - stop_began_ >= kAcceptTime; }
   // While stopping: whether the process may end now.
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -85,14 +85,14 @@
     limit(kRequestTime);
     wait();
   }
-  // Parts if it stands between requests; one that has begun is answered first, and the first one of a new
-  // connection may be on its way.
-  void drain() {
-    if (idle() && used_ && !has_bytes()) part();
+  // Ends it if it rests; a request that has begun is answered first, and the first one of a new connection
+  // may be on its way.
+  void close_if_resting() {
+    if (idle() && used_ && !has_bytes()) end_between_requests();
   }
-  // As drain(), and a first request has little time left to come.
+  // As close_if_resting(), and a first request has little time left to come.
   void finish() {
-    drain();
+    close_if_resting();
     if (idle()) limit(kLastRequest);
   }
   // Makes room for another connection, which can't wait; false if a request has just come.
@@ -130,7 +130,7 @@
     switch (stage_) {
       case Stage::idle:
         // A request that comes in this moment is read; it has its own time.
-        return has_bytes() ? limit(kRequestTime) : part();
+        return has_bytes() ? limit(kRequestTime) : end_between_requests();
       case Stage::reading: {
         // Ends the read that is under way, by its own handler: what is whole by then is handled all the same.
         error_code ignored;
@@ -155,15 +155,13 @@
       return read_header();
     }
     buffer_ = Buffer(kMostHeader + kMostBody);  // an idle connection holds no memory
-    if (intake_.draining_) return part();
     limit(kIdleTime);
     wait();
+    if (intake_.closing_resting_) close_if_resting();
   }
 
-  // A lingering close: the sending side is shut, then what comes is read away until the client ends. Nothing
-  // of it is a request any more. Closing over unread bytes would reset the connection, and the last answer
-  // with it.
-  void part() {
+  // Shuts the sending side. Nothing that comes from now on is a request.
+  void begin_lingering() {
     release();
     parser_.reset();
     stage_ = Stage::lingering;
@@ -171,7 +169,23 @@
     error_code ignored;
     socket_.cancel(ignored);
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    linger();
+  }
+  // A lingering close behind the last answer: what comes is read away until the client ends. Closing over
+  // unread bytes would reset the connection, and the answer with it.
+  void end_after_answer() {
+    begin_lingering();
+    read_away();
+  }
+  // A lingering close of a connection on which nothing is owed: what comes is never read, so that the close
+  // resets the connection. A client whose request crossed the end learns by the reset that nobody has it.
+  void end_between_requests() {
+    begin_lingering();
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
+      if (self->closed_) return;
+      if (bad || !self->has_bytes()) return self->close();
+      // Left where it is until the time for lingering is over.
+      self->intake_.tally_.add("their request crossed the end of its connection, unread");
+    });
   }
 
   // The first request of a new connection is waited for while draining too: it may be on the way.
@@ -299,18 +313,18 @@
     write_all(socket_, wire_text(response_), [self = shared_from_this()](error_code bad) {
       if (self->closed_) return;
       if (bad) return self->close();
-      self->close_after_ ? self->part() : self->next();
+      self->close_after_ ? self->end_after_answer() : self->next();
     });
   }
 
-  void linger() {
+  void read_away() {
     socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code bad) {
       if (self->closed_) return;
       char away[4096];
       const std::size_t size = bad ? 0 : self->socket_.read_some(net::buffer(away), bad);
       self->lingered_ += size;
       if ((bad && !would_block(bad)) || self->lingered_ > kLingerBytes) return self->close();
-      self->linger();
+      self->read_away();
     });
   }
 
@@ -397,10 +411,11 @@
     if (spare[i].second->make_room()) return;
 }
 
-void Intake::drain() {
-  draining_ = true;
-  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
-    session->drain();
+void Intake::drain() { draining_ = true; }
+
+void Intake::close_resting() {
+  if (std::exchange(closing_resting_, true)) return;
+  for (const auto& session : all_sessions()) session->close_if_resting();
 }
 
 void Intake::finish() {
@@ -409,8 +424,11 @@
   accept_waiting();
   error_code ignored;
   acceptor_.close(ignored);
-  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
-    session->finish();
+  for (const auto& session : all_sessions()) session->finish();
+}
+
+std::vector<std::shared_ptr<Intake::Session>> Intake::all_sessions() const {
+  return {sessions_.begin(), sessions_.end()};
 }
 
 // Those that wait to be accepted would be reset with what they wrote.
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "core/message.hpp"
 #include "core/outbox.hpp"
@@ -34,10 +35,14 @@
          const IntakeLimits& limits, Take take, Ready ready);
   ~Intake();
 
-  // From now on connections are closed once they stand between requests; new ones are still answered.
+  // From now on each answer is the last one of its connection. Connections that rest stay open: a request may
+  // be on its way.
   void drain();
-  // After drain(): no new connections from now on, and those that brought no request yet are closed, too. All
-  // are gone once clients() is 0, within kFinishMost.
+  // After drain(): connections that rest are closed, from now on at once. A request that crosses the close is
+  // never read, and its connection is reset.
+  void close_resting();
+  // After close_resting(): no new connections from now on, and those that brought no request yet are closed,
+  // too. All are gone once clients() is 0, within kFinishMost.
   void finish();
   static constexpr std::chrono::milliseconds kFinishMost{1200};
   // Whether a request is being read or answered, or an answer may still be on its way.
@@ -52,6 +57,8 @@
   void begin(boost::asio::ip::tcp::socket socket);
   void make_room();
   bool short_of_room() const;
+  // A copy: sessions take themselves out of the set.
+  std::vector<std::shared_ptr<Session>> all_sessions() const;
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -61,7 +68,9 @@
   IntakeLimits limits_;
   Take take_;
   Ready ready_;
-  bool draining_ = false, finishing_ = false;
+  bool draining_ = false;
+  bool closing_resting_ = false;
+  bool finishing_ = false;
   std::size_t body_bytes_ = 0;
   CounterLog tally_, accept_failures_;
   std::set<std::shared_ptr<Session>> sessions_;
--- a/relay/relay_shutdown.cpp
+++ b/relay/relay_shutdown.cpp
@@ -80,6 +80,7 @@
     committer_.commit();
   }
   committer_.commit_if_due();
+  if (lifecycle_.resting_time_is_over(now)) intake_->close_resting();
   if (lifecycle_.accept_time_is_over(now)) intake_->finish();
   if (lifecycle_.is_done(now, open_work())) {
     // No call that was answered is left without its record.
--- a/tests/core/lifecycle_test.cpp
+++ b/tests/core/lifecycle_test.cpp
@@ -41,6 +41,12 @@
   EXPECT_FALSE(lifecycle.advance(kStop + Lifecycle::kBeginCallsTime)) << "told once";
 }
 
+TEST(Lifecycle, LeavesRestingConnectionsOpenForTheirTime) {
+  const Lifecycle lifecycle = stopped();
+  EXPECT_FALSE(lifecycle.resting_time_is_over(kStop + Lifecycle::kRestingTime + kJustBefore));
+  EXPECT_TRUE(lifecycle.resting_time_is_over(kStop + Lifecycle::kRestingTime));
+}
+
 TEST(Lifecycle, AcceptsConnectionsForItsTime) {
   const Lifecycle lifecycle = stopped();
   EXPECT_FALSE(lifecycle.accept_time_is_over(kStop + Lifecycle::kAcceptTime + kJustBefore));
