The lab's endpoint notes an answer in the step that writes it

Cause: the answer was noted in the handler behind its write; an outage between the two reset the session, which noted the call as over, and the handler found nothing to note.

Evidence: EndpointTest.AnAnswerThatHasLeftIsToldThoughAnOutageBeginsBehindIt puts the outage between the two; before, its stages were came, ran, over, though the caller had read 200.

--- a/standins/endpoint.cpp
+++ b/standins/endpoint.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -275,19 +276,35 @@
            std::string(http::obsolete_reason(http::int_to_status(status))) + "\r\n" + fields +
            (keep_ ? "" : "Connection: close\r\n") + "Content-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
-    net::async_write(socket_, net::buffer(out_),
-                     [self = shared_from_this(), delivers](error_code bad, std::size_t) {
-                       if (bad) return self->close();
-                       const auto& told = self->endpoint_->options_.answered;
-                       if (delivers && told)
-                         for (const auto& id : self->ids_) told(id);
-                       if (delivers && !self->given_up_) self->tell(Stage::answered);
-                       if (!delivers) self->tell(Stage::over);
-                       self->out_there_ = false;
-                       if (!self->keep_) return self->close();
-                       self->read();
+    // What fits goes at once, so that no outage begins between its write and the note of it.
+    error_code bad;
+    socket_.non_blocking(true, bad);
+    const std::size_t written = socket_.write_some(net::buffer(out_), bad);
+    if (bad && bad != net::error::would_block && bad != net::error::try_again) return close();
+    if (delivers && written >= delivering_bytes()) note_delivered();
+    if (written == out_.size()) return finish_answer();
+    net::async_write(socket_, net::buffer(out_) + written,
+                     [self = shared_from_this(), delivers](error_code failure, std::size_t) {
+                       if (failure) return self->close();
+                       if (delivers && self->out_there_) self->note_delivered();
+                       self->finish_answer();
                      });
   }
+  // Bytes of an answer from which on its messages are delivered: the first line, of a bundle the whole.
+  std::size_t delivering_bytes() const {
+    return bundle_ ? out_.size() : out_.find("\r\n") + std::string_view("\r\n").size();
+  }
+  void note_delivered() {
+    if (const auto& told = endpoint_->options_.answered)
+      for (const auto& id : ids_) told(id);
+    if (!given_up_) tell(Stage::answered);
+    out_there_ = false;
+  }
+  void finish_answer() {
+    over();
+    if (!keep_) return close();
+    read();
+  }
 
   tcp::socket socket_;
   net::steady_timer timer_;
--- a/tests/standins/endpoint_test.cpp
+++ b/tests/standins/endpoint_test.cpp
@@ -15,6 +15,7 @@
     o.now = [this] { return now; };
     o.ran = [this](const std::string& id) { effects.ran(id); };
     o.answered = [this](const std::string& id) { answered.push_back(id); };
+    o.followed = followed;
     endpoint = std::make_unique<Endpoint>(io, o);
     return *endpoint;
   }
@@ -40,6 +41,7 @@
   Microseconds now = 0, idle = 5'000'000;
   Effects effects;
   std::vector<std::string> answered;
+  std::function<void(const Call&, Stage, Microseconds until)> followed;
   std::unique_ptr<Endpoint> endpoint;
   std::shared_ptr<Caller> last;
 };
@@ -60,6 +62,19 @@
   EXPECT_EQ(e.counts().connections, 1u);
 }
 
+// Guards against an outage between the write of an answer and the note of it: the caller has a delivery that
+// nobody accounts for.
+TEST_F(EndpointTest, AnAnswerThatHasLeftIsToldThoughAnOutageBeginsBehindIt) {
+  std::vector<Stage> stages;
+  followed = [&](const Call&, Stage stage, Microseconds) {
+    stages.push_back(stage);
+    if (stage == Stage::ran) boost::asio::post(io, [this] { endpoint->go_down(); });
+  };
+  make(quick());
+  EXPECT_EQ(ask("/events", "X-Request-Id: a1\r\n"), 200u);
+  EXPECT_EQ(stages, (std::vector<Stage>{Stage::came, Stage::ran, Stage::answered}));
+}
+
 TEST_F(EndpointTest, ABundleIsAnsweredOneByOne) {
   make(quick());
   EXPECT_EQ(ask("/events/bundle", "", R"([{"id":"a","body":""},{"id":"b","body":""}])"), 200u);
