A message of a bundle is not sent again while its call is out, without second copies

Callers: a message that may be repeated had two calls out at once where the settings allow no second copies.

Cause: each message of a call has a time-out of its own; when that of one was up, or it was cancelled, its attempt was told as ended while the call went on for the others.

Change: without second copies such a message stays in its call until nobody waits for that, or until its own deadline, behind which no retry is possible. With second copies allowed nothing changes.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -76,6 +76,7 @@
       : endpoint(std::move(e)),
         messages(std::move(m)),
         over(messages.size(), false),
+        cancelled(messages.size(), false),
         timer(io),
         read_pause(io) {
     left = messages.size();
@@ -84,7 +85,8 @@
 
   EndpointId endpoint;
   std::vector<Outgoing> messages;
-  std::vector<bool> over;  // its outcome was told
+  std::vector<bool> over;       // its outcome was told
+  std::vector<bool> cancelled;  // its outcome is to be told as that
   std::size_t left = 0;
   Stage stage = Stage::connecting;
   Microseconds sent = steady_now();
@@ -101,6 +103,13 @@
   // One message is delivered by the answer's first line, several by the whole of it.
   bool delivered() const { return messages.size() == 1 && answer.says_ok(); }
   Microseconds connect_due(const CallLimits& limits) const { return sent + limits.connect_timeout; }
+  // Until when somebody waits for its answer.
+  Microseconds last_timeout() const {
+    Microseconds last = 0;
+    for (std::size_t i = 0; i < messages.size(); i++)
+      if (!over[i]) last = std::max(last, sent + messages[i].timeout);
+    return last;
+  }
 };
 
 Calls::Calls(net::io_context& io, const CallLimits& limits, Ended ended, MayBegin may_begin)
@@ -211,6 +220,7 @@
                    [](const Outgoing& a, const Outgoing& b) { return a.timeout > b.timeout; });
   call->messages = std::move(live);
   call->over.assign(call->messages.size(), false);
+  call->cancelled.assign(call->messages.size(), false);
   const bool single = call->messages.size() == 1;
   auto& request = call->request;
   request.method(http::verb::post);
@@ -357,7 +367,7 @@
   if (call->stage == Call::Stage::done) return;
   Microseconds due = steady_now() + kNever;
   for (std::size_t i = 0; i < call->messages.size(); i++)
-    if (!call->over[i]) due = std::min(due, call->sent + call->messages[i].timeout);
+    if (!call->over[i]) due = std::min(due, given_up_at(*call, i));
   if (call->stage == Call::Stage::connecting) due = std::min(due, call->connect_due(limits_));
   if (call->answer_due > 0) due = std::min(due, call->answer_due);
   call->timer.set(span(std::max<Microseconds>(due - steady_now(), 0)), [this, call] {
@@ -368,14 +378,31 @@
     const bool connecting = call->stage == Call::Stage::connecting;
     if (connecting && now >= call->connect_due(limits_)) return end_all(call, Outcome::connect_failed);
     if (call->answer_due > 0 && now >= call->answer_due) return broken(call);
-    // Once its first byte is on the way, a call that is given up may have run.
-    for (std::size_t i = 0; i < call->messages.size(); i++)
-      if (!call->over[i] && now >= call->sent + call->messages[i].timeout)
-        end(call, i, connecting ? Outcome::connect_failed : Outcome::timeout);
+    give_up_due(call);
     arm(call);
   });
 }
 
+// A retry beside a call that is out would be a second copy: a message waits for the end of its call, or for
+// its deadline, behind which it is not sent again.
+Microseconds Calls::given_up_at(const Call& call, std::size_t part) const {
+  const Outgoing& message = call.messages[part];
+  const bool nothing_sent = call.stage == Call::Stage::connecting;
+  if (limits_.second_copies || nothing_sent) return call.sent + message.timeout;
+  return std::min(call.sent + message.time_left, call.last_timeout());
+}
+
+void Calls::give_up_due(const std::shared_ptr<Call>& call) {
+  const Microseconds now = steady_now();
+  for (std::size_t i = 0; i < call->messages.size(); i++) {
+    if (call->over[i] || now < given_up_at(*call, i)) continue;
+    // Once its first byte is on the way, a call that is given up may have run.
+    const bool connecting = call->stage == Call::Stage::connecting;
+    const Outcome begun = call->cancelled[i] ? Outcome::cancelled : Outcome::timeout;
+    end(call, i, connecting ? Outcome::connect_failed : begun);
+  }
+}
+
 void Calls::end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed) {
   if (call->over[part]) return;
   call->over[part] = true;
@@ -430,11 +457,14 @@
   const auto call = found->second;
   // As when its time is up: an answer that is here counts.
   if (call->stage == Call::Stage::waiting && take(call) == Taken::ended) return;
-  for (std::size_t i = 0; i < call->messages.size(); i++)
-    if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
-      const bool begun = call->stage != Call::Stage::connecting;
-      return end(call, i, begun ? Outcome::cancelled : Outcome::connect_failed);
-    }
+  for (std::size_t i = 0; i < call->messages.size(); i++) {
+    Outgoing& message = call->messages[i];
+    if (call->over[i] || message.id != id || message.attempt != attempt) continue;
+    call->cancelled[i] = true;
+    message.timeout = std::min(message.timeout, steady_now() - call->sent);
+  }
+  give_up_due(call);
+  arm(call);
 }
 
 void Calls::hold_back(const EndpointId& endpoint) {
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -1,7 +1,8 @@
 // Calls to endpoints: connections, bundles, outcomes.
 //
 // A connection carries one call at a time; kept ones are used freshest first and closed before the endpoint
-// would. Each message in a call has its own time-out; the call ends with the last of them.
+// would. Each message in a call has its own time-out; the call ends with the last of them. Where no second
+// copies are allowed, a message whose time is up stays in its call until that ends, or until its deadline.
 #pragma once
 
 #include <array>
@@ -29,6 +30,7 @@
   MessageId id = 0;
   int attempt = 0;
   Microseconds timeout = 0;
+  Microseconds time_left = 0;  // until its deadline, from the sending on; at least `timeout`
   std::string wire_id, body;
   std::string idempotency_key;  // empty: none
   Microseconds begin_by = 0;    // its call may begin until then, as steady_now() tells it; 0: whenever
@@ -40,6 +42,7 @@
   Microseconds idle = 0;        // endpoints close connections that were idle for so long
   std::size_t connections = 1;  // of calls out and kept ones together
   bool reports = false;         // answers may hold load reports
+  bool second_copies = false;   // a message may be sent again while a call with it is out
   bool wait_for_rest = true;    // a call waits for a kept connection that rests, in place of opening one
 };
 
@@ -97,6 +100,9 @@
   void broken(const std::shared_ptr<Call>& call);
   void answered_bundle(const std::shared_ptr<Call>& call);
   void arm(const std::shared_ptr<Call>& call);
+  // When a message that is not over is given up.
+  Microseconds given_up_at(const Call& call, std::size_t part) const;
+  void give_up_due(const std::shared_ptr<Call>& call);
   void end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed = false);
   void end_all(const std::shared_ptr<Call>& call, Outcome outcome, bool closed = false);
   void keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection);
--- a/relay/executor.cpp
+++ b/relay/executor.cpp
@@ -20,6 +20,7 @@
   limits.idle = config.settings.connection_idle_timeout;
   limits.connections = config.endpoint_connections;
   limits.reports = config.reports_in_answers;
+  limits.second_copies = config.settings.hedging;
   limits.wait_for_rest = !config.own.relay.early_rounds;
   return limits;
 }
@@ -49,6 +50,7 @@
   Outgoing one{send.id,
                static_cast<int>(held->attempts.size()),
                send.timeout,
+               0,  // told when it begins
                held->message.id,
                held->message.body,
                held->message.idempotency_key,
@@ -68,7 +70,8 @@
 bool Executor::may_still_begin(Outgoing& message, Microseconds now) const {
   const Held* const held = committer_.store().find(message.id);
   if (held == nullptr) return false;
-  message.timeout = std::min(message.timeout, held->message.deadline - now);
+  message.time_left = held->message.deadline - now;
+  message.timeout = std::min(message.timeout, message.time_left);
   return !held->ending && message.timeout > 0;
 }
 
--- a/tests/crossings/calls_test.cpp
+++ b/tests/crossings/calls_test.cpp
@@ -1,5 +1,6 @@
 // Calls to endpoints where two events meet: what a bundle's messages have left, late and stray bytes, resets.
 #include <algorithm>
+#include <set>
 
 #include "relay_harness.hpp"
 
@@ -41,7 +42,9 @@
     return crowd;
   }
   // Tells a wait on the first call, so that all that is handed in until its end goes in one bundle.
-  std::shared_ptr<Session> bundle_of(const std::vector<std::pair<std::string, std::string>>& messages) {
+  // Those named as `safe` may be repeated.
+  std::shared_ptr<Session> bundle_of(const std::vector<std::pair<std::string, std::string>>& messages,
+                                     const std::set<std::string>& safe = {}) {
     std::shared_ptr<Session> session;
     bool told = false;
     endpoint.on_request([&, this](const Got& g) {
@@ -55,7 +58,8 @@
     });
     EXPECT_EQ(hand_in("m0", kSafe), 202u);
     wait_for([&] { return told; }, "the wait is told");
-    for (const auto& [id, left] : messages) EXPECT_EQ(hand_in(id, kUnsafe, "hello", left), 202u);
+    for (const auto& [id, left] : messages)
+      EXPECT_EQ(hand_in(id, safe.contains(id) ? kSafe : kUnsafe, "hello", left), 202u);
     wait_for([&] { return session != nullptr; }, "the bundle");
     return session;
   }
@@ -86,6 +90,31 @@
   EXPECT_EQ(finals.find("\"d\""), std::string::npos);
 }
 
+// Where the settings allow no second copies: a message of a bundle whose own time is up stays in its call
+// while another one keeps that open. Guards against a retry beside it, which is a second copy.
+TEST_F(CallsCrossingTest, NoMessageOfABundleIsSentAgainWhileItsCallIsOut) {
+  members = member("s-1", endpoint.address(), "ready", "big");
+  start();
+  endpoint.on_request(stay_silent);
+  const auto session = bundle_of({{"lasting", "9000m"}, {"brief", "9000m"}}, {"brief"});
+  int calls = 0;
+  bool beside = false;
+  const auto is_out = [&] {
+    char byte = 0;
+    return ::recv(session->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0;
+  };
+  Server other(io, [&](const Got& g) {
+    calls++;
+    beside = beside || is_out();
+    g.session->answer(200);
+  });
+  tell(list(member("s-2", other.address(), "ready", "big"), false));
+  wait_for([&] { return calls > 0 || !is_out(); }, "the brief one's time is up");
+  EXPECT_FALSE(beside) << "sent again while its first call was out";
+  wait_for([&] { return calls > 0 || ended("brief"); }, "its end");
+  EXPECT_FALSE(beside);
+}
+
 // The answer and the end of the call's time meet: the process stood still over both.
 TEST_F(CallsCrossingTest, AnAnswerThatIsHereWhenItsTimeIsUpCounts) {
   endpoint.on_request(stay_silent);
