A request that arrives again stands in its order key's line once

By reading, then by test: a second RequestArrived with the id of a held request put the id into its key's line twice. When it was over one entry stayed, and all later requests of that key waited until their deadlines. The relay numbers its messages itself and hands the module no keys yet, so no caller of it was concerned.

Change: one that arrives again keeps its place; with another key it leaves the former line, whose next one may go.

Evidence: both new tests of RequestLifecycleTest failed before (turn at "never"); policy tests 206 of 206.

--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -35,9 +35,21 @@
   const double quota_factor = within_quota ? 1 : pass.settings.over_quota_weight;
   request.full_weight = request_class.priority_weight * quota_factor;
   request.group = Priority::order_group(arrived.message_class, quota_factor != 1, false);
-  request.order_key.clear();
-  if (request_class.ordered) request.order_key = arrived.order_key;
-  if (!request.order_key.empty()) state_.order_keys.join(request.order_key, request.id);
+  join_order_line(request, request_class.ordered ? arrived.order_key : std::string(), pass.now);
+}
+
+// One that arrives again keeps its place: an id must not stand in a line twice, where it would stay behind.
+void RequestLifecycle::join_order_line(Request& request, const std::string& key, Microseconds now) {
+  if (key == request.order_key) return;
+  leave_order_line(request, now);
+  request.order_key = key;
+  if (!key.empty()) state_.order_keys.join(key, request.id);
+}
+
+void RequestLifecycle::leave_order_line(const Request& request, Microseconds now) {
+  if (request.order_key.empty()) return;
+  const auto next = state_.order_keys.leave(request.order_key, request.id, now);
+  if (next) state_.reevaluation.add(*state_.requests.find(*next));
 }
 
 void RequestLifecycle::recover(const event::RequestRecovered& recovered, DecisionPass& pass) {
@@ -133,10 +145,7 @@
 
 void RequestLifecycle::forget_if_done(Request& request, Microseconds now) {
   if (!request.completed || !request.in_flight.empty()) return;
-  if (!request.order_key.empty()) {
-    const auto next = state_.order_keys.leave(request.order_key, request.id, now);
-    if (next) state_.reevaluation.add(*state_.requests.find(*next));
-  }
+  leave_order_line(request, now);
   state_.reevaluation.remove(request);
   state_.requests.erase(request.id);
 }
--- a/src/request_lifecycle.hpp
+++ b/src/request_lifecycle.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 
 #include "decision_pass.hpp"
 #include "heronvane/dispatch/dispatcher.hpp"
@@ -56,6 +57,9 @@
   Microseconds turn_at(const Request& request, Microseconds now) const;
 
  private:
+  void join_order_line(Request& request, const std::string& key, Microseconds now);
+  // The next one of its key may go then.
+  void leave_order_line(const Request& request, Microseconds now);
   void complete(Request& request);
   static void set_unattempted(Request& request, bool unattempted);
 
--- a/tests/policy/request_lifecycle_test.cpp
+++ b/tests/policy/request_lifecycle_test.cpp
@@ -178,5 +178,23 @@
   EXPECT_TRUE(decided_.empty());
 }
 
+// Guards against an id that stands in its order key's line twice: it would hold up the key for good.
+TEST_F(RequestLifecycleTest, ARequestThatArrivesAgainStandsInItsLineOnce) {
+  Request& first = arrive(1, "key");
+  arrive(1, "key");
+  const Request& second = arrive(2, "key");
+  EXPECT_EQ(lifecycle_.turn_at(second, pass_.now), kNever);
+  end_attempt(first, {.outcome = Outcome::served, .request_completed = true});
+  EXPECT_EQ(lifecycle_.turn_at(second, pass_.now), 0) << "nobody is before it any more";
+}
+
+TEST_F(RequestLifecycleTest, ARequestThatArrivesAgainWithAnotherKeyLeavesTheFormerLine) {
+  arrive(1, "key");
+  const Request& second = arrive(2, "key");
+  const Request& first = arrive(1, "other");
+  EXPECT_EQ(lifecycle_.turn_at(second, pass_.now), 0);
+  EXPECT_EQ(lifecycle_.turn_at(first, pass_.now), 0);
+}
+
 }  // namespace
 }  // namespace heronvane::dispatch::testing
