Numbers of messages are not given again where damage hides how many there were

Callers: a number that is given again stands for two messages; a record of the first can end or hide the second.

Cause: the next number was the highest one found plus the records counted as missing.

Change: after such damage numbers go on 2^32 further.

--- a/relay/store/recovery.cpp
+++ b/relay/store/recovery.cpp
@@ -16,6 +16,10 @@
 namespace heronvane::store {
 namespace {
 
+// More messages than any damage can hide. How many it hid can't be counted: a file that was cut does not tell
+// its size once the head of the next one is hurt, too.
+constexpr MessageId kMostNumbersHidden = MessageId{1} << 32;
+
 const std::string kOldName = "journal", kOldNext = "journal.next";
 // What the file of format 1 is called once it is part of the store.
 const std::string kOldSegment = "segment-0000000000-00000000.hv1";
@@ -302,7 +306,7 @@
   if (replay.last_missing() > 0 && !std::exchange(track_, true)) return read_segments();
   if (replay.last_missing() > 0) {
     // Numbers that stood in what is missing must not be given again.
-    found_.table.reserve_numbers(found_.table.next_number() + replay.counts().missing);
+    found_.table.reserve_numbers(found_.table.next_number() + kMostNumbersHidden);
     settle_doubt(replay.last_missing());
   }
 }
--- a/tests/store/damage_test.cpp
+++ b/tests/store/damage_test.cpp
@@ -294,6 +294,27 @@
       c.images, c.held, c.doubtful, c.lost, c.aside);
 }
 
+// Guards against numbers that are given again: a cut of the last sealed file and a hurt head of the newest
+// one hide how many there were.
+TEST(Damage, ACutAndAHurtHeadHideNoNumbers) {
+  std::size_t tried = 0;
+  for (std::uint64_t seed = 130; seed < 150; seed++) {
+    Subject s;
+    prepare(s, seed);
+    if (s.names.size() < 2 || s.whole.empty()) continue;
+    const auto image = s.disk.after(0);
+    const std::string& sealed = s.names[s.names.size() - 2];
+    image->cut(sealed, image->contents(sealed).size() / 6);
+    constexpr std::uint64_t kHead = 324;
+    image->zero(s.names.back(), 0, std::min(kHead, image->contents(s.names.back()).size()));
+    image->settle();
+    const Store store(*image, options(s.setting, s.clocks));
+    ASSERT_GT(store.next_number(), s.whole.rbegin()->first) << "seed " << seed;
+    tried++;
+  }
+  EXPECT_GE(tried, 10u);
+}
+
 // A cut of the newest file looks like a write that was cut off: no damage, nothing in doubt. Not one that
 // takes its first record or the word that a segment was dropped: then files are missed that are gone for
 // good.
