--- a/lab/history.hpp
+++ b/lab/history.hpp
@@ -47,7 +47,7 @@
   disturbed,    // links between it and endpoints or clients are cut, slow or torn
   undisturbed,  // no longer
   // Destinations and the lab.
-  fell,  // value: messages in the time that knocked it over; part: of these, from relays that saw its outage
+  fell,  // value: weight of the calls that knocked it over; part: of these, from relays that saw its outage
   lag,   // the lab's loop stood still for `value` microseconds
 };
 const char* word(Kind kind);
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -130,6 +130,7 @@
     r.verdict = judge(run.history, plan, x.traffic.classes, run.end, judge_options(x));
     r.figures = figures(run, plan, x);
     r.fabric = run.fabric;
+    r.peak_cold_load = run.peak_cold_load;
     r.relay_cpu_s = run.relay_cpu_s, r.relay_memory = run.relay_memory;
     r.end = run.end;
     r.failed = unmet(x, r.verdict, r.figures);
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -52,6 +52,8 @@
           {"crossed", static_cast<double>(t.crossed)},
           {"repeats", static_cast<double>(t.repeats)},
           {"falls", static_cast<double>(t.falls)},
+          {"cold_load_peak_share", r.peak_cold_load.all},
+          {"cold_load_peak_share_of_those_who_saw", r.peak_cold_load.by_those_who_saw},
           {"broken", static_cast<double>(r.verdict.faults())},
           {"excused", static_cast<double>(t.excused)},
           {"relay_cpu_s", r.relay_cpu_s},
@@ -210,8 +212,11 @@
       << (f.peak_at.empty() ? "" : " (" + f.peak_at + ")") << ", calls for lists "
       << number(f.list_calls, "%.0f") << ", in the worst second " << number(f.list_calls_worst_second, "%.0f")
       << ", new connections a message " << number(f.connections_per_message, "%.2f")
-      << "\n  the lab: " << r.fabric.links << " links, lag p99 " << number(f.lag_p99_ms, "%.1f")
-      << " ms, most " << number(f.lag_max_ms, "%.0f") << " ms";
+      << "\n  most that came to a cold destination, of what may come: "
+      << number(r.peak_cold_load.all, "%.2f") << ", from relays that had seen its outage "
+      << number(r.peak_cold_load.by_those_who_saw, "%.2f") << "\n  the lab: " << r.fabric.links
+      << " links, lag p99 " << number(f.lag_p99_ms, "%.1f") << " ms, most " << number(f.lag_max_ms, "%.0f")
+      << " ms";
   if (r.fabric.not_carried > 0)
     out << ", " << r.fabric.not_carried << " connections not carried for want of descriptors";
   out << "\n";
--- a/lab/report.hpp
+++ b/lab/report.hpp
@@ -19,6 +19,7 @@
   Verdict verdict;
   Figures figures;
   Fabric::Counts fabric;
+  PeakColdLoad peak_cold_load;  // of all destinations
   double relay_cpu_s = 0;
   std::uint64_t relay_memory = 0;
   Microseconds end = 0;
--- a/lab/world.hpp
+++ b/lab/world.hpp
@@ -50,6 +50,7 @@
   double relay_cpu_s = 0;          // of all relays that ran at the end, since their last starts
   std::uint64_t relay_memory = 0;  // the largest that one held at the end
   std::vector<double> lags_ms;     // of the loop, sampled
+  PeakColdLoad peak_cold_load;     // of all destinations
 };
 
 class World {
@@ -86,6 +87,8 @@
   void tell(const std::string& line) const;
   Index relay_at(const boost::asio::ip::address& address) const;
   void followed(Index endpoint, const standins::Call& call, standins::Stage stage, Microseconds until);
+  // The place of an endpoint among those of its destination.
+  Index lane_of(Index endpoint) const;
   standins::Fate decide(Index endpoint, const standins::Call& call);
   void heard(Index relay, const standins::Message& message, standins::Heard heard);
   void went_up(Index relay);
