--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -259,6 +259,38 @@
   delivered(8 * kS + 51 * kMs, "a", 1);
   breaks(Rule::drained);
 }
+// What discovery still writes into the connection of a process that has ended tells its next process nothing.
+TEST_F(Forged, ADrainWrittenToAProcessThatHasEndedIsNotTold) {
+  add(1 * kS, Kind::down);
+  add(1 * kS + 600 * kMs, Kind::up);
+  of(add(3 * kS, Kind::drained, kNobody), "", 0, 0);
+  of(add(3 * kS + 500 * kMs, Kind::listed), "", 0, 0);
+  taken(5 * kS, "a");
+  delivered(5 * kS + 10 * kMs, "a", 1);
+  breaks_nothing();
+}
+TEST_F(Forged, ADrainToldToTheNextProcessBinds) {
+  add(1 * kS, Kind::down);
+  add(1 * kS + 550 * kMs, Kind::list_call);
+  add(1 * kS + 600 * kMs, Kind::up);
+  of(add(3 * kS, Kind::drained, kNobody), "", 0, 0);
+  of(add(3 * kS + 500 * kMs, Kind::listed), "", 0, 0);
+  taken(5 * kS, "a");
+  delivered(5 * kS + 10 * kMs, "a", 1);
+  breaks(Rule::drained);
+}
+// 6 s after discovery could be reached, and the grace.
+TEST_F(Forged, ADrainDuringACutCountsAsToldSixSecondsBehindIt) {
+  add(1 * kS, Kind::away);
+  of(add(2 * kS, Kind::drained, kNobody), "", 0, 0);
+  add(3 * kS, Kind::back);
+  taken(9 * kS, "a");
+  delivered(10 * kS + 40 * kMs, "a", 1);
+  breaks_nothing();
+  taken(10 * kS, "b");
+  delivered(10 * kS + 60 * kMs, "b", 2);
+  breaks(Rule::drained);
+}
 TEST_F(Forged, ACallWithinAToldWait) {
   auto& e = add(1 * kS, Kind::told_wait);
   of(e, "", 0, 0);
