The judge counts a drain as told though a process's end is noted late

By reading the change once more: ignores what is written for a relay between its process's end and the next one's answered question. Where the end was noted behind that question, drains told to the next process would have been ignored for good: looser than meant. A question within 100 ms before the end's note counts as the next one's.

--- a/lab/judge.cpp
+++ b/lab/judge.cpp
@@ -277,16 +277,16 @@
         if (!watch_lost_.contains(e.relay)) told_.try_emplace({e.relay, e.endpoint}, e.at);
         break;
       case Kind::list_call:
-        if (e.value == 0) watch_lost_.erase(e.relay);
+        if (e.value == 0) answered_list_call(e);
         break;
       case Kind::down:
-        watch_lost_.insert(e.relay);
+        lose_watch(e);
         break;
       case Kind::drained:
         drained_.try_emplace(e.endpoint, e.at);
         break;
       case Kind::crashed:
-        watch_lost_.insert(e.relay);
+        lose_watch(e);
         found(Rule::crash, e.at, "", relay(e.relay) + " ended by itself");
         break;
       case Kind::no_start:
@@ -339,6 +339,17 @@
     auto& c = s.calls[e.call];
     c.first_byte = first, c.came = e.at, c.relay = e.relay, c.endpoint = e.endpoint;
   }
+  void answered_list_call(const Event& e) {
+    watch_lost_.erase(e.relay);
+    last_list_call_[e.relay] = e.at;
+  }
+  // What is written for it from now on goes to a process that has ended, until its next one has asked: that
+  // may be noted before the end is.
+  void lose_watch(const Event& e) {
+    const auto asked = last_list_call_.find(e.relay);
+    if (asked != last_list_call_.end() && e.at - asked->second <= o_.end_noted) return;
+    watch_lost_.insert(e.relay);
+  }
   void drain(const Event& e, Microseconds first, const std::string& who) {
     const auto truth = drained_.find(e.endpoint);
     if (truth == drained_.end()) return;
@@ -451,6 +462,7 @@
   std::vector<Microseconds> losses_;  // when any relay went down or away, by time
   std::set<Index> down_;
   std::map<std::pair<Index, Index>, Microseconds> told_;  // relay, endpoint
+  std::map<Index, Microseconds> last_list_call_;          // by relay; answered ones
   std::set<Index> watch_lost_;  // relays whose process ended, and whose next one has not been answered yet
   std::map<Index, Microseconds> drained_;
   std::map<std::tuple<Index, Index, Index>, std::vector<Span>> waits_;      // relay, destination, lane
--- a/lab/judge.hpp
+++ b/lab/judge.hpp
@@ -61,6 +61,7 @@
   Microseconds wait_slack = 100'000;      // calls so soon after a wait was written are let through
   Microseconds answer_read = 500'000;     // a relay has read an answer that was written so long ago
   Microseconds call_ended = 100'000;  // an endpoint has seen the end of a call that was given up so long ago
+  Microseconds end_noted = 100'000;   // the end of a process is noted so late at most
   int attempts_most = 8;
   std::size_t findings_most = 200;  // kept; all are counted
   Microseconds lag_least = 20'000;  // the lab's lag from which on it excuses what hangs on times
--- a/tests/lab/judge_test.cpp
+++ b/tests/lab/judge_test.cpp
@@ -279,6 +279,16 @@
   delivered(5 * kS + 10 * kMs, "a", 1);
   breaks(Rule::drained);
 }
+TEST_F(Forged, ADrainToldToTheNextProcessBindsThoughTheEndOfTheFormerIsNotedLate) {
+  add(1 * kS, Kind::list_call);
+  add(1 * kS + 90 * kMs, Kind::down);
+  add(1 * kS + 200 * kMs, Kind::up);
+  of(add(3 * kS, Kind::drained, kNobody), "", 0, 0);
+  of(add(3 * kS + 500 * kMs, Kind::listed), "", 0, 0);
+  taken(5 * kS, "a");
+  delivered(5 * kS + 10 * kMs, "a", 1);
+  breaks(Rule::drained);
+}
 // 6 s after discovery could be reached, and the grace.
 TEST_F(Forged, ADrainDuringACutCountsAsToldSixSecondsBehindIt) {
   add(1 * kS, Kind::away);
