A cancel leaves a call alone that waits to begin

Callers: where a message of a bundle was cancelled while its call waited for a kept connection to rest, the other messages were never sent and ended as not connected after the connection's time.

Cause: cancel() set the call's timer anew, which stands for the call's beginning there.

A time left of 0 no longer ends a message at once.

--- a/lab/recovery_budget.hpp
+++ b/lab/recovery_budget.hpp
@@ -1,8 +1,9 @@
 // How much may be sent to a destination that has returned cold from an outage before it falls over.
 //
-// The terms count it as a budget (PROTOCOL, fourth rule; the operators' standing test gives the slack): with
-// N, what the settings allow in the window, more than N + 2 * sqrt(N) + 2 calls are too many, of an N under
-// 30 more than N + 3 * sqrt(N) + 3. No I/O and no clock.
+// The terms count it as a budget (WIRE, fourth rule; the operators' standing test gives the slack): with N,
+// the calls that the settings allow in the window, it falls when it gets more than N + 2 * sqrt(N) + 2 calls,
+// or of an N under 30 more than N + 3 * sqrt(N) + 3. A call with several messages weighs a little more than
+// one with a single message. No I/O and no clock; times are microseconds of the run and never go back.
 #pragma once
 
 #include <cstddef>
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -389,7 +389,7 @@
   const Outgoing& message = call.messages[part];
   const bool nothing_sent = call.stage == Call::Stage::connecting;
   if (limits_.second_copies || nothing_sent) return call.sent + message.timeout;
-  return std::min(call.sent + message.time_left, call.last_timeout());
+  return std::min(call.sent + std::max(message.time_left, message.timeout), call.last_timeout());
 }
 
 void Calls::give_up_due(const std::shared_ptr<Call>& call) {
@@ -464,7 +464,8 @@
     message.timeout = std::min(message.timeout, steady_now() - call->sent);
   }
   give_up_due(call);
-  arm(call);
+  // Before its first byte the timer may stand for the call's beginning.
+  if (call->stage != Call::Stage::connecting) arm(call);
 }
 
 void Calls::hold_back(const EndpointId& endpoint) {
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -30,7 +30,7 @@
   MessageId id = 0;
   int attempt = 0;
   Microseconds timeout = 0;
-  Microseconds time_left = 0;  // until its deadline, from the sending on; at least `timeout`
+  Microseconds time_left = 0;  // until its deadline, from the sending on; `timeout` where that is longer
   std::string wire_id, body;
   std::string idempotency_key;  // empty: none
   Microseconds begin_by = 0;    // its call may begin until then, as steady_now() tells it; 0: whenever
