Requests that were read together are all answered before their connection ends

Callers: of requests sent at once, those behind the first one got no answer where a stop, or little room, ended the connection with that answer, though the relay had read them.

Cause: answer() closed behind any answer while stopping or short of room, whatever stood in the connection's buffer.

Evidence: StopTest.RequestsThatWereReadTogetherAreAllAnswered failed before, three runs of three: one answer for three requests. With the fix, beside ClosingTest: 20 of 20, 5 at a time. A request that can't be read still ends its connection.

--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -301,8 +301,10 @@
     response_.result(a.status);
     if (a.retry_after > 0) response_.set(http::field::retry_after, seconds_text(a.retry_after));
     if (a.status == 405) response_.set(http::field::allow, "POST");
-    // Guards against clients that ask once and keep their connection: they would hold what others need.
-    close_after_ = close_after_ || intake_.draining_ || intake_.short_of_room();
+    // Guards against clients that ask once and keep their connection: they would hold what others need. Those
+    // whose next request has been read along have it answered first.
+    const bool next_was_read = buffer_.size() > 0;
+    if (!next_was_read) close_after_ = close_after_ || intake_.draining_ || intake_.short_of_room();
     response_.keep_alive(!close_after_);
     if (why != nullptr && parser_->get().method() != http::verb::head) {
       response_.set(http::field::content_type, "text/plain");
--- a/tests/crossings/stop_test.cpp
+++ b/tests/crossings/stop_test.cpp
@@ -79,6 +79,21 @@
   EXPECT_EQ(endpoint.got.size(), 2u * kClients);
 }
 
+// Guards against an answer that ends its connection over further requests which were read with the first one.
+TEST_F(StopTest, RequestsThatWereReadTogetherAreAllAnswered) {
+  endpoint.on_request(stay_silent);
+  start();
+  const auto resting = rest_after("m1");
+  stop_for(std::chrono::milliseconds(50), [&] {
+    EXPECT_TRUE(resting->send(request("m2", kSafe) + request("m3", kSafe) + request("m4", kSafe)));
+    send_signal(child, SIGTERM);
+  });
+  EXPECT_EQ(resting->read_answer(), "202 keep-alive");
+  EXPECT_EQ(resting->read_answer(), "202 keep-alive");
+  EXPECT_EQ(resting->read_answer(), "202 close");
+  wait_logged("stopping");
+}
+
 // Guards against a request that comes between the relay's last look at a resting connection and its close:
 // reading it away would end the connection cleanly, and its client could not tell that nobody has it.
 TEST_F(StopTest, ARequestBehindTheLastLookAtARestingConnectionIsReset) {
