A want of descriptors is no failure of discovery: its connect is tried again at once

Cause: a failure of this machine's own (no descriptor, buffer, memory or local port) was told to the module as a failure of discovery.

Change: such a connect is tried again after 20 ms until the time to connect is over, and only then told as failed.

--- a/relay/core/socket_errors.hpp
+++ b/relay/core/socket_errors.hpp
@@ -21,4 +21,13 @@
 }
 constexpr std::chrono::milliseconds kShortageRetryDelay{5};
 
+// This machine has no descriptor, memory or local port for a new connection. Says nothing about the other
+// side: the connect is to be tried again after kConnectRetryDelay.
+inline bool is_local_shortage(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  return is_memory_shortage(error) || error == boost::asio::error::no_descriptors ||
+         error == errc::too_many_files_open_in_system || error == errc::address_not_available;
+}
+constexpr std::chrono::milliseconds kConnectRetryDelay{20};
+
 }  // namespace heronvane
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -57,7 +57,7 @@
   bool follow, over = false;
   tcp::socket socket;
   Timer timer;
-  Timer read_pause;  // while the system has no memory for a read
+  Timer read_pause;  // while the system has no memory for a read, or nothing for a connection
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
@@ -156,23 +156,37 @@
   const auto query = std::make_shared<Query>(io_, follow, most_list_);
   (follow ? watch_ : fetch_) = query;
   query->timer.set(kConnectTime, [this, query] { end(query, "no connection"); });
-  query->socket.async_connect(address_, [this, query, follow](error_code bad) {
+  connect(query);
+}
+
+void Platform::connect(const std::shared_ptr<Query>& query) {
+  query->socket.async_connect(address_, [this, query](error_code bad) {
     if (query->over) return;
+    // No failure of discovery, whose pauses would grow: tried again until the time to connect is over.
+    if (is_local_shortage(bad)) {
+      error_code ignored;
+      query->socket.close(ignored);
+      return query->read_pause.set(kConnectRetryDelay, [this, query] { connect(query); });
+    }
     if (bad) return end(query, bad.message());
-    error_code ignored;
-    query->socket.set_option(tcp::no_delay(true), ignored);
-    query->socket.non_blocking(true, ignored);
-    follow ? guard(query) : list_time(query);
-    query->request.method(http::verb::get);
-    query->request.version(11);
-    query->request.target(follow ? "/catalog/members?follow=1&since=" + std::to_string(index_)
-                                 : std::string("/catalog/members"));
-    query->request.set(http::field::host, "discovery.svc");
-    write_all(query->socket, wire_text(query->request), [this, query](error_code failed) {
-      if (query->over) return;
-      if (failed) return end(query, failed.message());
-      read(query);
-    });
+    send_request(query);
+  });
+}
+
+void Platform::send_request(const std::shared_ptr<Query>& query) {
+  error_code ignored;
+  query->socket.set_option(tcp::no_delay(true), ignored);
+  query->socket.non_blocking(true, ignored);
+  query->follow ? guard(query) : list_time(query);
+  query->request.method(http::verb::get);
+  query->request.version(11);
+  query->request.target(query->follow ? "/catalog/members?follow=1&since=" + std::to_string(index_)
+                                      : std::string("/catalog/members"));
+  query->request.set(http::field::host, "discovery.svc");
+  write_all(query->socket, wire_text(query->request), [this, query](error_code failed) {
+    if (query->over) return;
+    if (failed) return end(query, failed.message());
+    read(query);
   });
 }
 
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -46,6 +46,8 @@
   struct Query;
   struct Post;
   void ask(bool follow);
+  void connect(const std::shared_ptr<Query>& query);
+  void send_request(const std::shared_ptr<Query>& query);
   void drop(std::shared_ptr<Query>& query);
   void read(const std::shared_ptr<Query>& query);
   void objects(const std::shared_ptr<Query>& query);
--- a/tests/accept_test.cpp
+++ b/tests/accept_test.cpp
@@ -19,6 +19,11 @@
     faults = switched(call, error, "times = 1\n");
     start();
   }
+  // The faults that were injected, a line each.
+  std::string given() const {
+    std::ifstream in(folder + "/given");
+    return {std::istreambuf_iterator<char>(in), {}};
+  }
   void expect_answered(const std::shared_ptr<Client> &client) {
     wait_for([&] { return client->ended || !client->answers.empty(); }, "the client is answered");
     EXPECT_EQ(client->answers.size(), 1u);
@@ -130,5 +135,31 @@
   EXPECT_EQ(endpoint.got[0].request.body(), "hello");
 }
 
+// Guards against a want of descriptors that counts as a failure of discovery: pauses that grow would leave
+// the relay without a watch long after it has descriptors again.
+TEST_F(AcceptTest, AWatchIsOpenedAsSoonAsThereIsADescriptorForIt) {
+  for (const char *error : {"EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"}) {
+    SCOPED_TRACE(error);
+    if (child > 0) kill_relay();
+    watches.clear();
+    set_faults(false);
+    std::filesystem::remove(folder + "/given");
+    faults = "report = \"" + folder + "/given\"\n" + switched("socket", error);
+    start();
+    wait_for([&] { return watches.size() == 1; }, "the watch");
+    set_faults(true);
+    watches[0]->close();
+    wait_for([&] { return given().find("socket") != std::string::npos; }, "no socket for the next one");
+    const auto since = std::chrono::steady_clock::now();
+    const auto passed = [&] { return std::chrono::steady_clock::now() - since; };
+    wait_for([&] { return passed() >= std::chrono::milliseconds(300); }, "the shortage lasts a while");
+    set_faults(false);
+    wait_for([&] { return watches.size() == 2; }, "the next watch");
+    EXPECT_LT(passed(), std::chrono::milliseconds(600))
+        << "the first pause behind a failure is 0.75 s at least";
+    if (HasFailure()) return;
+  }
+}
+
 }  // namespace
 }  // namespace heronvane::testing
