--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 # relay may be held up.
 TOLD, GRACE, SOCKETS, HELD_UP = 6.0, 1.0, 0.05, 0.15
 # The cut: 6 s, once. The endpoint is drained right at its begin, and stays up, draining, to the end of the run.
-CUT_AT, CUT_S, DRAIN_AFTER, TRAFFIC_S = 7.5, 6.0, 0.05, 22
+CUT_AT, CUT_S, DRAIN_AFTER, TRAFFIC_S = 7.3, 6.0, 0.05, 22
 
 
 class Cut:
