--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,6 +7,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), 'lib'))
 from rig import MS, S, Client, Discovery, Endpoint, Relay, config, main, now, settings  # noqa: E402
 
+# On the day's older clock a change counts as told 6 s later at the latest; the page for pushed lists goes before it. Both are counted.
+OLDER_CLOCK = 6.0
 # After a change is told: the grace of the settings, 50 ms more on sockets, and the 150 ms for which a relay may be held up.
 GRACE, SOCKETS, HELD_UP = 1.0, 0.05, 0.15
 # The site: drained for 2.5 to 5 s, then gone; 0.4 to 0.6 of the endpoints within 24 to 36 s, in steps of 0.08 to 0.2. Here two of six, one
@@ -71,8 +73,7 @@
         discovery.change(new.name, 'ready')
         old.told = discovery.change(old.name, 'draining')
         await asyncio.sleep(DRAIN_S)
-        discovery.change(old.name, 'gone')
-        await old.stop()
+        discovery.change(old.name, 'gone')  # its process stays up a while and turns away what still comes, so that it can be seen
 
     begun, n, steps = now(), 0, list(STEPS) if trouble else []
     while now() - begun < TRAFFIC_S:
@@ -97,8 +98,10 @@
             continue
         late = [b for b, _, _ in endpoint.calls if b > endpoint.told + GRACE + SOCKETS + HELD_UP]
         if late:
-            broken.append('drain: %d calls to %s begun later than %.2f s after its drain was told, the last %.2f s after'
-                          % (len(late), endpoint.name, GRACE + SOCKETS + HELD_UP, late[-1] - endpoint.told))
+            older = [b for b in late if b > endpoint.told + OLDER_CLOCK + GRACE + SOCKETS + HELD_UP]
+            broken.append('drain: %d calls to %s begun later than %.2f s after its drain was told, %d of them later than %.2f s, the last %.2f s after'
+                          % (len(late), endpoint.name, GRACE + SOCKETS + HELD_UP, len(older), OLDER_CLOCK + GRACE + SOCKETS + HELD_UP,
+                             late[-1] - endpoint.told))
     return broken
 
 
