--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), 'lib'))
-from rig import Client, Discovery, Endpoint, Relay, config, main, now, settings  # noqa: E402
+from rig import Client, Discovery, Endpoint, Relay, config, judged, main, now, settings  # noqa: E402
 
 # The brief: three buildings, 22 to 38 ms one way between them; the site: jitter up to 0.35, tries of 120 to 210 ms.
 ONE_WAY, JITTER, SERVICE = 0.038, 0.35, (0.120, 0.210)
@@ -86,8 +86,7 @@
         asyncio.ensure_future(client.hand_in('m-%x' % n, cls, random.randint(1, GROUPS), deadline))
         await asyncio.sleep(random.expovariate(RATE))
     await asyncio.sleep(REST_S)
-    if relay.process.returncode is not None:
-        return ['crash: the relay ended with %d' % relay.process.returncode]
+    judged([relay], client, 1000)
     broken = []
     served = {i for endpoint in endpoints for i in endpoint.served}
     for i, info in client.sent.items():
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,12 @@
 set -u
 cd "$(dirname "$0")" || exit 2
 command -v python3 >/dev/null || { echo "python3 is not there"; exit 2; }
-exec timeout -k 2 118 python3 -B case.py
+timeout -k 4 115 python3 -B case.py &
+child=$!
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' TERM INT
+wait "$child"
+case $? in
+  10) exit 1 ;;
+  0) exit 0 ;;
+  *) exit 2 ;;
+esac
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), 'lib'))
-from rig import MS, S, Client, Discovery, Endpoint, Relay, config, main, now, settings  # noqa: E402
+from rig import MS, S, Client, Discovery, Endpoint, Relay, config, judged, main, now, settings  # noqa: E402
 
 # On the day's older clock a change counts as told 6 s later at the latest; the page for pushed lists goes before it. Both are counted.
 OLDER_CLOCK = 6.0
@@ -85,8 +85,7 @@
             asyncio.ensure_future(replace(len(STEPS) - len(steps)))
             steps.pop(0)
     await asyncio.sleep(32)
-    if relay.process.returncode is not None:
-        return ['crash: the relay ended with %d' % relay.process.returncode]
+    judged([relay], client, 300)
     served = {i for endpoint in endpoints for i in endpoint.served}
     taken = [i for i, info in client.sent.items() if info['status'] in (200, 202)]
     record.add('case', 'discovery was asked %d times; of %d messages taken on %d were not delivered, %d of these for destination 1' % (
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), 'lib'))
-from rig import HOST, CannotRun, Client, Discovery, Endpoint, Relay, config, main, now, settings  # noqa: E402
+from rig import HOST, CannotRun, Client, Discovery, Endpoint, Relay, config, judged, main, now, settings  # noqa: E402
 
 # Told at the latest 6 s after the watch fell silent; then the grace of the settings, 50 ms more on sockets, and the 150 ms for which a
 # relay may be held up.
@@ -140,8 +140,7 @@
         if network.cut and now() - cut_at >= CUT_S:
             network.end()
     await asyncio.sleep(1)
-    if relay.process.returncode is not None:
-        return ['crash: the relay ended with %d' % relay.process.returncode]
+    judged([relay], client, 500)
     bound = told + GRACE + SOCKETS + HELD_UP
     late = [b for b, _, _ in drained.calls if b > bound]
     if late:
