A connection is reused after twice its round trip, so late copies end no other message

Cause: an HTTP/1.1 answer does not name its request, and a connection was used again 5 ms after its last answer on any network. A second copy written right behind that answer arrives up to 27 ms later over the site's network, on a connection that already carries another message's call, and ends it; every later answer on the connection then ends the wrong message. Change: ReuseDelay, measured for each endpoint: twice the round trip of the first request on a connection (which nothing earlier can answer), at least 5 ms and twice the longest gap seen before unexpected bytes, at most the 400 ms that an answer has. Why it works: the copy crosses the same network as the answer, so it arrives within that delay, on an idle connection, which is then closed. A call waits for a connection once and no longer than a round trip, the time that a new one takes.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -29,9 +29,6 @@
 // Time for the rest of an answer once its first byte has arrived; a later one counts as broken. Otherwise
 // heads and bodies that never end would occupy call slots until the message timeout.
 constexpr Microseconds kAnswerTimeout = 400'000;
-// Time between an answer and the reuse of its connection. Stray bytes that an endpoint sends after its answer
-// arrive within it and are detected; otherwise they would be read as the answer to the next call.
-constexpr Microseconds kReuseDelay = 5'000;
 // Fraction of the endpoint's idle timeout after which an idle connection is closed. The rest covers the
 // transit of the answer that started the endpoint's timer and of the next request.
 constexpr double kMaxIdleFraction = 0.9;
@@ -69,6 +66,7 @@
   explicit Connection(net::io_context& io) : socket(io) {}
   tcp::socket socket;
   tcp::endpoint address;
+  Microseconds answered_at = 0;  // when its last answer was read; 0: it had none yet
 };
 
 struct Calls::Call {
@@ -90,6 +88,8 @@
   std::size_t unended = 0;      // messages
   Stage stage = Stage::connecting;
   Microseconds started_at = steady_now();
+  Microseconds written_at = 0;  // when writing began
+  bool has_waited = false;      // for a connection in its reuse delay
   std::shared_ptr<Connection> connection;
   Timer timer;
   Timer read_retry_timer;  // while the system has no memory for a read
@@ -125,20 +125,20 @@
 Calls::~Calls() = default;
 
 void Calls::set_address(const EndpointId& endpoint, const tcp::endpoint& address) {
-  const auto [entry, inserted] = addresses_.try_emplace(endpoint, address);
-  if (entry->second == address) return;
-  entry->second = address;
+  const auto [entry, inserted] = endpoints_.try_emplace(endpoint, KnownEndpoint{address, {}});
+  if (entry->second.address == address) return;
+  entry->second = {address, {}};
   counters_.address_changed += idle_pool_.drop_all(endpoint);
 }
 
 void Calls::remove_endpoint(const EndpointId& endpoint) {
   counters_.address_changed += idle_pool_.drop_all(endpoint);
-  addresses_.erase(endpoint);
+  endpoints_.erase(endpoint);
 }
 
 void Calls::send(const EndpointId& endpoint, std::vector<Outgoing> messages) {
   const auto call = std::make_shared<Call>(io_, endpoint, std::move(messages));
-  const bool has_capacity = in_flight_ < limits_.max_in_flight && addresses_.count(endpoint) > 0;
+  const bool has_capacity = in_flight_ < limits_.max_in_flight && endpoints_.count(endpoint) > 0;
   if (has_capacity) {
     in_flight_++;
     calls_by_endpoint_[endpoint].push_back(call);
@@ -152,27 +152,46 @@
 }
 
 void Calls::begin(const std::shared_ptr<Call>& call) {
-  const auto found = addresses_.find(call->endpoint);
-  if (found == addresses_.end()) return end_all_messages(call, Outcome::not_sent);
-  const Microseconds last_used_before = steady_now() - kReuseDelay;
+  const auto found = endpoints_.find(call->endpoint);
+  if (found == endpoints_.end()) return end_all_messages(call, Outcome::not_sent);
+  const Microseconds now = steady_now();
+  const ReuseDelay& reuse_delay = found->second.reuse_delay;
+  if (use_idle_connection(call, now - reuse_delay.delay())) {
+    set_timer(call);
+    return write(call);
+  }
+  const Microseconds since = idle_pool_.longest_idle_since(call->endpoint);
+  const Microseconds reusable_at = since + reuse_delay.delay();
+  if (since >= 0 && should_wait(*call, reusable_at - now, reuse_delay)) {
+    call->has_waited = true;
+    return begin_at(call, reusable_at);
+  }
+  connect(call, found->second.address);
+}
+
+// Takes an idle connection last used at or before `last_used_before`; false if there is none.
+bool Calls::use_idle_connection(const std::shared_ptr<Call>& call, Microseconds last_used_before) {
   while (const auto connection = idle_pool_.take(call->endpoint, last_used_before)) {
     error_code error;
     connection->socket.cancel(error);
     char byte = 0;
     // A request written to a connection that the endpoint has closed would end as a reset.
     connection->socket.receive(net::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (error != net::error::would_block) {
-      counters_.closed_by_endpoint++;
-      continue;
+    if (error == net::error::would_block) {
+      call->connection = connection;
+      return true;
     }
-    call->connection = connection;
-    set_timer(call);
-    return write(call);
+    count_unusable(*connection, call->endpoint);
   }
-  const Microseconds since = idle_pool_.longest_idle_since(call->endpoint);
+  return false;
+}
+
+// Whether a call should wait for a connection in its reuse delay rather than open one. It waits once at most:
+// another call may take the connection first.
+bool Calls::should_wait(const Call& call, Microseconds wait, const ReuseDelay& reuse_delay) const {
+  if (call.has_waited || wait > reuse_delay.longest_wait()) return false;
   const bool has_capacity = in_flight_ + idle_pool_.size() < limits_.max_connections;
-  if (since >= 0 && (limits_.wait_for_reuse || !has_capacity)) return begin_at(call, since + kReuseDelay);
-  connect(call, found->second);
+  return limits_.wait_for_reuse || !has_capacity;
 }
 
 void Calls::begin_at(const std::shared_ptr<Call>& call, Microseconds when) {
@@ -247,6 +266,7 @@
   }
   request.prepare_payload();
   call->stage = Call::Stage::writing;
+  call->written_at = now;
   HERONVANE_POINT("call.first-byte");
   write_all(call->connection->socket, wire_text(request),
             [this, call, connection = call->connection](error_code error) {
@@ -304,6 +324,7 @@
   if (limits_.read_load_reports) call->report = answer.report();
   call->reusable = answer.reusable();
   const auto connection = call->connection;
+  record_answer_time(*call);
   const unsigned status = answer.status();
   switch (status) {
     case 200:
@@ -337,6 +358,15 @@
   if (call->reusable) keep_connection(call->endpoint, connection);
 }
 
+void Calls::record_answer_time(const Call& call) {
+  const Microseconds now = steady_now();
+  const auto found = endpoints_.find(call.endpoint);
+  const bool is_first = call.connection->answered_at == 0;
+  call.connection->answered_at = now;
+  if (is_first && found != endpoints_.end() && found->second.address == call.connection->address)
+    found->second.reuse_delay.record_first_answer(now - call.written_at);
+}
+
 void Calls::handle_bundle_answer(const std::shared_ptr<Call>& call) {
   HERONVANE_POINT("outcome.bundle");
   rapidjson::Document document;
@@ -502,8 +532,8 @@
 }
 
 void Calls::keep_connection(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
-  const auto found = addresses_.find(endpoint);
-  if (found == addresses_.end() || connection->address != found->second) return;
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end() || connection->address != found->second.address) return;
   if (in_flight_ + idle_pool_.size() >= limits_.max_connections) {
     counters_.not_kept++;
     return;
@@ -519,13 +549,27 @@
   connection->socket.async_wait(tcp::socket::wait_read,
                                 [this, weak = std::weak_ptr(connection), endpoint](error_code error) {
                                   const auto readable = weak.lock();
-                                  if (!error && readable) drop_closed_connection(endpoint, readable.get());
+                                  if (!error && readable) drop_closed_connection(endpoint, *readable);
                                 });
 }
 
-void Calls::drop_closed_connection(const EndpointId& endpoint, const Connection* connection) {
-  counters_.closed_by_endpoint++;
-  idle_pool_.drop(endpoint, connection);
+void Calls::drop_closed_connection(const EndpointId& endpoint, Connection& connection) {
+  count_unusable(connection, endpoint);
+  idle_pool_.drop(endpoint, &connection);
+}
+
+// Counts why an idle connection is of no further use.
+void Calls::count_unusable(Connection& connection, const EndpointId& endpoint) {
+  error_code error;
+  if (connection.socket.available(error) == 0) {
+    counters_.closed_by_endpoint++;
+    return;
+  }
+  counters_.unexpected_data++;
+  unexpected_answers_.add("data behind an answer");
+  const auto found = endpoints_.find(endpoint);
+  if (found != endpoints_.end())
+    found->second.reuse_delay.record_unexpected_bytes(steady_now() - connection.answered_at);
 }
 
 void Calls::close_idle(const EndpointId& endpoint) {
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -1,7 +1,8 @@
 // Sends HTTP calls to endpoints, one message or a bundle each, and reports the outcome of every message.
 //
-// A connection carries one call at a time. Idle connections are kept for reuse, the most recently used first,
-// and closed before the endpoint's own idle timeout. Each message has its own timeout; a call ends when all
+// A connection carries one call at a time. Idle connections are kept for reuse, the most recently used first
+// of those that have been silent for the endpoint's ReuseDelay, and closed before the endpoint's own idle
+// timeout. Each message has its own timeout; a call ends when all
 // its messages have ended. Without hedging, a message whose timeout has passed stays in its call until the
 // call ends or the message's deadline passes.
 #pragma once
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "backends/idle_connection_pool.hpp"
+#include "backends/reuse_delay.hpp"
 #include "clock.hpp"
 #include "core/timer.hpp"
 #include "heronvane/dispatch/dispatcher.hpp"
@@ -84,7 +86,8 @@
   // Counts since the start: connections opened, and why connections were closed rather than reused.
   struct ConnectionCounters {
     std::uint64_t opened = 0;
-    std::uint64_t closed_by_endpoint = 0;  // idle, closed by the endpoint or with unexpected data
+    std::uint64_t closed_by_endpoint = 0;  // idle, closed by the endpoint
+    std::uint64_t unexpected_data = 0;     // idle, with data behind the answer before
     std::uint64_t expired = 0;             // idle, closed before the endpoint's idle timeout
     std::uint64_t evicted = 0;             // idle, closed at the connection limit for a call's connection
     std::uint64_t not_kept = 0;            // closed after their call at the connection limit
@@ -97,9 +100,15 @@
  private:
   struct Connection;
   struct Call;
+  struct KnownEndpoint {
+    boost::asio::ip::tcp::endpoint address;
+    ReuseDelay reuse_delay;
+  };
 
   void begin(const std::shared_ptr<Call>& call);
   void begin_at(const std::shared_ptr<Call>& call, Microseconds when);
+  bool use_idle_connection(const std::shared_ptr<Call>& call, Microseconds last_used_before);
+  bool should_wait(const Call& call, Microseconds wait, const ReuseDelay& reuse_delay) const;
   void connect(const std::shared_ptr<Call>& call, const boost::asio::ip::tcp::endpoint& address);
   void write(const std::shared_ptr<Call>& call);
   void read(const std::shared_ptr<Call>& call);
@@ -107,6 +116,7 @@
   ReadResult read_available(const std::shared_ptr<Call>& call);
   void handle_answer(const std::shared_ptr<Call>& call);
   void handle_broken_answer(const std::shared_ptr<Call>& call);
+  void record_answer_time(const Call& call);
   void handle_bundle_answer(const std::shared_ptr<Call>& call);
   void set_timer(const std::shared_ptr<Call>& call);
   // When to give up a message that has not ended.
@@ -117,7 +127,8 @@
   void end_all_messages(const std::shared_ptr<Call>& call, Outcome outcome, bool request_completed = false);
   void keep_connection(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection);
   void watch_idle_connection(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint);
-  void drop_closed_connection(const EndpointId& endpoint, const Connection* connection);
+  void drop_closed_connection(const EndpointId& endpoint, Connection& connection);
+  void count_unusable(Connection& connection, const EndpointId& endpoint);
   void close_expired();
   void remove_call(const std::shared_ptr<Call>& call);
 
@@ -128,7 +139,7 @@
   CounterLog unexpected_answers_;
   std::array<char, 16 * 1024> read_buffer_{};  // used by one read at a time
   Timer expiry_timer_;
-  std::unordered_map<EndpointId, boost::asio::ip::tcp::endpoint> addresses_;
+  std::unordered_map<EndpointId, KnownEndpoint> endpoints_;
   std::unordered_map<EndpointId, std::vector<std::shared_ptr<Call>>> calls_by_endpoint_;  // in flight
   std::unordered_map<MessageId, std::shared_ptr<Call>> calls_by_message_;  // until the message ends
   std::size_t in_flight_ = 0;
