A watch cut off from discovery is back within 250 ms of the cut's end

Cause: an attempt to connect that never came up was told to the module as a failure of discovery, whose pauses (0.5 s, doubled to 4 s) are made for one that is down or crowded; within an attempt the system repeats a dropped SYN after 1 s only. Giving the silent watch up too late was the other explanation; the new test tells them apart: with a heartbeat 1.3 s before the cut the watch is given up earlier, and is back later. Change: StaggeredConnect begins an attempt each 250 ms, four at a time at most; for a watch until one comes up or the server refuses. Why it works: what the network drops costs discovery nothing, so nothing has to be spared; refusals and failed calls keep the module's pauses. Notices connect in the same way. A local shortage is waited out likewise.

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -15,6 +15,7 @@
 #include "core/list_reader.hpp"
 #include "core/object_splitter.hpp"
 #include "core/retry_read.hpp"
+#include "core/staggered_connect.hpp"
 #include "core/stream_writer.hpp"
 #include "fail_points.hpp"
 #include "log.hpp"
@@ -38,7 +39,7 @@
 constexpr auto kTimeoutJitter = std::chrono::milliseconds(250);
 // After the heartbeat timeout, for reading what had arrived by then.
 constexpr auto kFinalReadDelay = std::chrono::milliseconds(100);
-constexpr auto kConnectTimeout = std::chrono::seconds(1);  // discovery is near: a slower one is down
+constexpr auto kConnectTimeout = std::chrono::seconds(1);  // of a fetch: a slower discovery is unreachable
 constexpr auto kListTimeout = std::chrono::seconds(6);  // for one full list, from its request or first byte
 constexpr std::size_t kParseSliceBytes = 32 * 1024;     // bytes of a list that are parsed at a time
 constexpr std::size_t kEntriesPerPart = 2'000;          // entries of a list that are passed on at a time
@@ -59,7 +60,8 @@
   bool follow, ended = false;
   tcp::socket socket;
   Timer timer;
-  Timer read_retry_timer;  // while the system lacks memory for a read, or resources to connect
+  Timer read_retry_timer;  // while the system lacks memory for a read
+  std::shared_ptr<StaggeredConnect> connecting;
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
@@ -72,11 +74,22 @@
   std::optional<ListReader> reader;  // of the list being parsed
   std::optional<EndpointList> list;  // being passed on
   std::size_t delivered = 0;         // entries of `list` passed on
+
+  // Ends it: none of its handlers has any further effect.
+  void close() {
+    ended = true;
+    if (connecting) connecting->cancel();
+    timer.cancel();
+    read_retry_timer.cancel();
+    error_code ignored;
+    socket.close(ignored);
+  }
 };
 
 struct Platform::Post {
   explicit Post(net::io_context& io) : timer(io), read_retry_timer(io) {}
-  std::shared_ptr<tcp::socket> socket;
+  std::shared_ptr<StaggeredConnect> connecting;
+  std::shared_ptr<tcp::socket> socket;  // null until it is connected
   Timer timer;
   Timer read_retry_timer;  // while the system lacks memory for a read
   std::vector<MessageId> ids;
@@ -86,6 +99,19 @@
   AnswerReader answer;
   std::array<char, 4096> chunk;
   unsigned status = 0;  // 0 until the answer is complete
+
+  // Ends it, but leaves its connection open: none of its handlers has any further effect.
+  void stop() {
+    ended = true;
+    if (connecting) connecting->cancel();
+    timer.cancel();
+    read_retry_timer.cancel();
+  }
+  void close() {
+    stop();
+    error_code ignored;
+    if (socket) socket->close(ignored);
+  }
 };
 
 Platform::Platform(net::io_context& io, const tcp::endpoint& address,
@@ -120,11 +146,7 @@
 
 void Platform::cancel_query(std::shared_ptr<Query>& query) {
   if (!query) return;
-  query->ended = true;
-  error_code ignored;
-  query->socket.close(ignored);
-  query->timer.cancel();
-  query->read_retry_timer.cancel();
+  query->close();
   query.reset();
 }
 
@@ -140,11 +162,7 @@
   if (following_) watch();
   idle_socket_.reset();
   if (post_) {
-    post_->ended = true;
-    post_->timer.cancel();
-    post_->read_retry_timer.cancel();
-    error_code ignored;
-    post_->socket->close(ignored);
+    post_->close();
     post_.reset();
   }
   retry_timer_.cancel();
@@ -158,23 +176,24 @@
   if (!follow && fetch_) return;
   const auto query = std::make_shared<Query>(io_, follow, max_list_bytes_);
   (follow ? watch_ : fetch_) = query;
-  query->timer.set(kConnectTimeout, [this, query] { end_query(query, "connect timed out"); });
-  connect(query);
+  query->timer.set(kConnectTimeout, [this, query] { handle_slow_connect(query); });
+  query->connecting = std::make_shared<StaggeredConnect>(
+      io_, address_, [this, weak = std::weak_ptr(query)](error_code error, tcp::socket socket) {
+        const auto connected = weak.lock();
+        if (!connected) return;
+        if (error) return end_query(connected, error.message());
+        connected->socket = std::move(socket);
+        send_request(connected);
+      });
+  query->connecting->start();
 }
 
-void Platform::connect(const std::shared_ptr<Query>& query) {
-  query->socket.async_connect(address_, [this, query](error_code error) {
-    if (query->ended) return;
-    // A local shortage is not a failure of discovery, which would increase the module's backoff: the connect
-    // is retried until the connect timeout.
-    if (is_local_shortage(error)) {
-      error_code ignored;
-      query->socket.close(ignored);
-      return query->read_retry_timer.set(kConnectRetryDelay, [this, query] { connect(query); });
-    }
-    if (error) return end_query(query, error.message());
-    send_request(query);
-  });
+// A watch goes on connecting: what it misses binds the relay from a fixed time on, so it must be back soon
+// after discovery can be reached, whatever failed before. Reported as a failure, it would wait for the
+// module's backoff.
+void Platform::handle_slow_connect(const std::shared_ptr<Query>& query) {
+  if (!query->follow) return end_query(query, "connect timed out");
+  log("discovery: watch: connect timed out, still trying");
 }
 
 void Platform::send_request(const std::shared_ptr<Query>& query) {
@@ -339,11 +358,7 @@
 
 void Platform::end_query(const std::shared_ptr<Query>& query, const std::string& reason) {
   log(std::string("discovery: ") + (query->follow ? "watch: " : "list: ") + reason);
-  query->ended = true;
-  query->timer.cancel();
-  query->read_retry_timer.cancel();
-  error_code ignored;
-  query->socket.close(ignored);
+  query->close();
   if (watch_ == query) watch_.reset();
   if (fetch_ == query) fetch_.reset();
   if (full_list_due_) index_ = 0;  // the next watch asks for the full list
@@ -379,33 +394,38 @@
   request.set(http::field::content_type, "application/x-ndjson");
   request.prepare_payload();
   post->timer.set(kPostTimeout, [this, post] { finish_post(post, "no answer"); });
-  const auto on_connected = [this, post](error_code error) {
-    if (post->ended) return;
-    if (error) return finish_post(post, error.message());
-    error_code ignored;
-    post->socket->set_option(tcp::no_delay(true), ignored);
-    post->socket->non_blocking(true, ignored);
-    HERONVANE_POINT("notice.before");
-    write_all(*post->socket, wire_text(post->request),
-              [this, post, socket = post->socket](error_code write_error) {
-                if (post->ended) return;
-                if (write_error) return finish_post(post, write_error.message());
-                read(post);
-              });
-  };
   if (const auto socket = std::exchange(idle_socket_, nullptr)) {
     // Data that arrived before the request would be read as its answer and could confirm these notices by
     // mistake.
     error_code error;
     if (socket->available(error) == 0 && !error) {
       post->socket = socket;
-      return on_connected({});
+      return write(post);
     }
     socket->close(error);
   }
   post->new_connection = true;
-  post->socket = std::make_shared<tcp::socket>(io_);
-  post->socket->async_connect(address_, on_connected);
+  post->connecting = std::make_shared<StaggeredConnect>(
+      io_, address_, [this, weak = std::weak_ptr(post)](error_code error, tcp::socket socket) {
+        const auto connected = weak.lock();
+        if (!connected) return;
+        if (error) return finish_post(connected, error.message());
+        connected->socket = std::make_shared<tcp::socket>(std::move(socket));
+        write(connected);
+      });
+  post->connecting->start();
+}
+
+void Platform::write(const std::shared_ptr<Post>& post) {
+  error_code ignored;
+  post->socket->set_option(tcp::no_delay(true), ignored);
+  post->socket->non_blocking(true, ignored);
+  HERONVANE_POINT("notice.before");
+  write_all(*post->socket, wire_text(post->request), [this, post, socket = post->socket](error_code error) {
+    if (post->ended) return;
+    if (error) return finish_post(post, error.message());
+    read(post);
+  });
 }
 
 void Platform::read(const std::shared_ptr<Post>& post) {
@@ -433,17 +453,14 @@
 }
 
 void Platform::finish_post(const std::shared_ptr<Post>& post, const std::string& error_text) {
-  post->ended = true;
-  post->timer.cancel();
-  post->read_retry_timer.cancel();
+  post->stop();
   post_.reset();
   if (error_text.empty()) {
     backoff_ = kFirstBackoff;
     if (post->answer.reusable()) idle_socket_ = post->socket;
     return handle_notices_taken(post->ids);
   }
-  error_code ignored;
-  post->socket->close(ignored);
+  post->close();
   if (post->status == kStatusMalformed) {
     // One malformed notice must not block the others for ever: they are sent one at a time until the
     // malformed one is found and dropped.
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -54,7 +54,7 @@
   struct Query;
   struct Post;
   void start_query(bool follow);
-  void connect(const std::shared_ptr<Query>& query);
+  void handle_slow_connect(const std::shared_ptr<Query>& query);
   void send_request(const std::shared_ptr<Query>& query);
   void cancel_query(std::shared_ptr<Query>& query);
   void read(const std::shared_ptr<Query>& query);
@@ -68,6 +68,7 @@
   void start_list_timer(const std::shared_ptr<Query>& query);
   void handle_silence(const std::shared_ptr<Query>& query);
   void post_notices();
+  void write(const std::shared_ptr<Post>& post);
   void read(const std::shared_ptr<Post>& post);
   void handle_notices_taken(const std::vector<MessageId>& ids);
   void finish_post(const std::shared_ptr<Post>& post, const std::string& error_text);
--- a/tests/races/watch_test.cpp
+++ b/tests/races/watch_test.cpp
@@ -43,6 +43,39 @@
   EXPECT_EQ(health(), 200u) << "the last known list stays in use";
 }
 
+// Guards against a relay that is back at its watch long after a cut from discovery: it went on calling a
+// draining endpoint. What the watch missed binds 6 s after it fell silent, and the drain's grace is 1 s.
+TEST_F(WatchTest, AWatchIsReopenedSoonAfterACutFromDiscovery) {
+  const milliseconds heartbeat_age(1300), cut_time(6000), drain_grace(1000);
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  beats = false;
+  watches[0]->write("1\r\n\n\r\n");
+  const auto cut_at = steady_clock::now() + heartbeat_age;
+  wait_for([&] { return steady_clock::now() >= cut_at; }, "the heartbeat has aged");
+  platform.cut();
+  const auto restored = steady_clock::now() + cut_time;
+  wait_for([&] { return steady_clock::now() >= restored; }, "the cut is over");
+  platform.end_cut();
+  wait_for([&] { return watches.size() == 2; }, "a new watch");
+  EXPECT_LT(steady_clock::now() - restored, drain_grace);
+}
+
+// The same for notices, which are due within 300 ms and have 50 ms more on sockets.
+TEST_F(WatchTest, NoticesAreSentSoonAfterACutFromThePlatform) {
+  endpoint.on_request([](const Got& received) { received.session->close(); });
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  platform.cut();
+  EXPECT_EQ(hand_in("m1", "pay-and-order"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call, which has an unknown outcome");
+  const auto restored = steady_clock::now() + milliseconds(300);
+  wait_for([&] { return steady_clock::now() >= restored; }, "the cut is over");
+  platform.end_cut();
+  wait_for([&] { return ended("m1"); }, "the notice");
+  EXPECT_LT(steady_clock::now() - restored, milliseconds(350));
+}
+
 // Guards against an entry that never ends although bytes keep arriving as heartbeats.
 TEST_F(WatchTest, AWatchWithAnEndlessEntryIsReopened) {
   start();
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -90,6 +90,21 @@
     acceptor_.close(ignored);
     for (const auto& s : sessions) s->close();
   }
+  // Makes the server unreachable, as behind a network that drops everything: new connections don't come up,
+  // since the backlog is full. Open ones stay open.
+  void cut() {
+    acceptor_.cancel();
+    ::listen(acceptor_.native_handle(), 0);
+    for (int i = 0; i < 3; i++) {
+      backlog_.emplace_back(acceptor_.get_executor());
+      backlog_.back().async_connect(acceptor_.local_endpoint(), [](error_code) {});
+    }
+  }
+  void end_cut() {
+    backlog_.clear();
+    ::listen(acceptor_.native_handle(), SOMAXCONN);
+    accept();
+  }
 
   std::vector<Got> got;
   std::vector<std::shared_ptr<Session>> sessions;
@@ -117,6 +132,7 @@
                      });
   }
   tcp::acceptor acceptor_;
+  std::vector<tcp::socket> backlog_;  // connections that fill the backlog during a cut
   Handler handler_;
 };
 
