A bundle answer that leaves out a message ends its connection

Cause: ids that the answer lacks were told as failed, while the connection was judged by its bytes alone and kept. Change: an answer that does not name each message of its call makes the connection unusable; outcomes are as before. It works because such an answer may be another call's, whose own is still on its way; on a closed connection it can end nothing. Result: CallsRaceTest.AConnectionIsNotReusedAfterABundleAnswerThatNamesOtherMessages failed before (the next call came on the same connection) and passes.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -386,6 +386,9 @@
     if (id->value.IsString() && state->value.IsString())
       states[id->value.GetString()] = state->value.GetString();
   }
+  // An answer that leaves out a message may be that of another call.
+  for (const Outgoing& message : call->messages)
+    if (states.count(message.wire_id) == 0) call->reusable = false;
   for (std::size_t i = 0; i < call->messages.size(); i++) {
     const std::string& state = states[call->messages[i].wire_id];
     if (state == "done")
--- a/tests/races/calls_test.cpp
+++ b/tests/races/calls_test.cpp
@@ -116,6 +116,20 @@
   EXPECT_FALSE(in_parallel);
 }
 
+// Guards against a connection out of step: an answer that leaves out a message of its call may be that of
+// another call, whose own answer would then end the next one.
+TEST_F(CallsRaceTest, AConnectionIsNotReusedAfterABundleAnswerThatNamesOtherMessages) {
+  members = member("s-1", endpoint.address(), "ready", "big");
+  start();
+  const auto session = bundle_of({{"a", "9000m"}, {"b", "9000m"}});
+  session->answer(200, "", R"([{"id":"a","state":"done"},{"id":"other","state":"done"}])");
+  wait_for([&] { return ended("b"); }, "the message that is left out may have been processed");
+  endpoint.on_request(answer_ok);
+  EXPECT_EQ(hand_in("next", kUnsafe), 202u);
+  wait_for([&] { return calls_of("next") == 1; }, "the next call");
+  EXPECT_NE(endpoint.got.back().session, session);
+}
+
 // The process is suspended while both the answer arrives and the call's timeout passes.
 TEST_F(CallsRaceTest, AnAnswerThatArrivedBeforeTheTimeoutIsHandledCounts) {
   endpoint.on_request(stay_silent);
