The connection for notices rests too, so a late copy confirms no other notice

Cause: the kept connection was looked at for unread bytes and used at once; a second copy of a 204 that arrived behind the look was read as the answer to the next notices. Change: ReuseDelay for this connection, too; notices wait for it no longer than a round trip, else they open a new one. Result: ReuseTest.ALateSecondCopyConfirmsNoOtherNotice waited in vain before at round trips of 40 and 150 ms, and passes. The other tests of notices pass (ClosingTest, PlatformTest, WatchTest).

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -98,7 +98,8 @@
   // Bounds the size of the header and the body, as for endpoints' answers.
   AnswerReader answer;
   std::array<char, 4096> chunk;
-  unsigned status = 0;  // 0 until the answer is complete
+  unsigned status = 0;          // 0 until the answer is complete
+  Microseconds written_at = 0;  // when writing began
 
   // Ends it, but leaves its connection open: none of its handlers has any further effect.
   void stop() {
@@ -161,6 +162,7 @@
   // At once, even if the decision module is in a backoff after a failure of the old address.
   if (following_) watch();
   idle_socket_.reset();
+  reuse_delay_ = {};
   if (post_) {
     post_->close();
     post_.reset();
@@ -379,7 +381,36 @@
   if (!post_ && !retry_pending_) post_notices();
 }
 
+// When the idle connection may carry the next notices; 0: now. Its owner checks that there is one.
+Microseconds Platform::time_until_reusable() const {
+  return std::max<Microseconds>(answered_at_ + reuse_delay_.delay() - steady_now(), 0);
+}
+
+// Takes the idle connection if it may be used and nothing has arrived on it: that would be read as the answer
+// to the next notices and could confirm them by mistake. Closes it otherwise.
+std::shared_ptr<tcp::socket> Platform::take_idle_socket() {
+  const auto socket = std::exchange(idle_socket_, nullptr);
+  if (!socket) return nullptr;
+  error_code error;
+  const std::size_t unexpected = socket->available(error);
+  if (unexpected > 0) reuse_delay_.record_unexpected_bytes(steady_now() - answered_at_);
+  if (unexpected == 0 && !error && time_until_reusable() == 0) return socket;
+  socket->close(error);
+  return nullptr;
+}
+
+void Platform::post_later(std::chrono::microseconds delay) {
+  retry_pending_ = true;
+  retry_timer_.set(delay, [this] {
+    retry_pending_ = false;
+    if (!pending_notices_.empty() && !post_) this->post_notices();
+  });
+}
+
 void Platform::post_notices() {
+  // A new connection would take a round trip, too.
+  const Microseconds wait = idle_socket_ ? time_until_reusable() : 0;
+  if (wait > 0 && wait <= reuse_delay_.longest_wait()) return post_later(std::chrono::microseconds(wait));
   const auto post = post_ = std::make_shared<Post>(io_);
   auto& request = post->request;
   for (const auto& [id, text] : pending_notices_) {
@@ -394,16 +425,7 @@
   request.set(http::field::content_type, "application/x-ndjson");
   request.prepare_payload();
   post->timer.set(kPostTimeout, [this, post] { finish_post(post, "no answer"); });
-  if (const auto socket = std::exchange(idle_socket_, nullptr)) {
-    // Data that arrived before the request would be read as its answer and could confirm these notices by
-    // mistake.
-    error_code error;
-    if (socket->available(error) == 0 && !error) {
-      post->socket = socket;
-      return write(post);
-    }
-    socket->close(error);
-  }
+  if ((post->socket = take_idle_socket()) != nullptr) return write(post);
   post->new_connection = true;
   post->connecting = std::make_shared<StaggeredConnect>(
       io_, address_, [this, weak = std::weak_ptr(post)](error_code error, tcp::socket socket) {
@@ -420,6 +442,7 @@
   error_code ignored;
   post->socket->set_option(tcp::no_delay(true), ignored);
   post->socket->non_blocking(true, ignored);
+  post->written_at = steady_now();
   HERONVANE_POINT("notice.before");
   write_all(*post->socket, wire_text(post->request), [this, post, socket = post->socket](error_code error) {
     if (post->ended) return;
@@ -440,6 +463,8 @@
     if (state == State::more) return read(post);
     if (state == State::broken) return finish_post(post, error ? error.message() : "malformed answer");
     post->status = post->answer.status();
+    answered_at_ = steady_now();
+    if (post->new_connection) reuse_delay_.record_first_answer(answered_at_ - post->written_at);
     HERONVANE_POINT("notice.answered");
     finish_post(post, post->status == 204 ? "" : "answered " + std::to_string(post->status));
   });
@@ -476,11 +501,7 @@
   // the request arrived.
   if (!post->new_connection) return this->post_notices();
   log("notices: " + error_text);
-  retry_pending_ = true;
-  retry_timer_.set(backoff_, [this] {
-    retry_pending_ = false;
-    if (!pending_notices_.empty() && !post_) this->post_notices();
-  });
+  post_later(backoff_);
   backoff_ = std::min(2 * backoff_, kMaxBackoff);
 }
 
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "backends/reuse_delay.hpp"
 #include "core/message.hpp"
 #include "core/timer.hpp"
 #include "endpoint_list.hpp"
@@ -68,6 +69,9 @@
   void start_list_timer(const std::shared_ptr<Query>& query);
   void handle_silence(const std::shared_ptr<Query>& query);
   void post_notices();
+  void post_later(std::chrono::microseconds delay);
+  Microseconds time_until_reusable() const;
+  std::shared_ptr<boost::asio::ip::tcp::socket> take_idle_socket();
   void write(const std::shared_ptr<Post>& post);
   void read(const std::shared_ptr<Post>& post);
   void handle_notices_taken(const std::vector<MessageId>& ids);
@@ -83,13 +87,15 @@
   FailureCallback on_failure_;
   NoticesTakenCallback on_notices_taken_;
   std::shared_ptr<Query> watch_, fetch_;
-  std::function<void()> on_refreshed_;                // null if no refresh() is in flight
-  std::map<MessageId, std::string> pending_notices_;  // as JSON lines
-  std::shared_ptr<Post> post_;                        // in flight, or null
-  std::shared_ptr<boost::asio::ip::tcp::socket> idle_socket_;
+  std::function<void()> on_refreshed_;                         // null if no refresh() is in flight
+  std::map<MessageId, std::string> pending_notices_;           // as JSON lines
+  std::shared_ptr<Post> post_;                                 // in flight, or null
+  std::shared_ptr<boost::asio::ip::tcp::socket> idle_socket_;  // for notices, or null
+  Microseconds answered_at_ = 0;                               // when its last answer was read
+  ReuseDelay reuse_delay_;
   static constexpr std::size_t kMaxNoticesPerPost = 64;
   std::size_t max_notices_ = kMaxNoticesPerPost;
-  Timer retry_timer_;
+  Timer retry_timer_;  // of post_later()
   bool retry_pending_ = false;
   bool full_list_due_ = false;  // since the address changed
   bool following_ = false;      // between watch() and unwatch()
--- a/tests/races/reuse_test.cpp
+++ b/tests/races/reuse_test.cpp
@@ -44,6 +44,28 @@
   wait_for([&] { return calls_of("m2") == 2 || ended("m2"); }, "the refused message is sent again");
 }
 
+// Guards against a second copy of the platform's answer that confirms the next notices, which it has not
+// taken.
+TEST_P(ReuseTest, ALateSecondCopyConfirmsNoOtherNotice) {
+  const auto [round_trip, copy_delay] = GetParam();
+  const std::string taken = "HTTP/1.1 204 No Content\r\n\r\n";
+  std::size_t posts = 0;
+  endpoint.on_request([](const Got& received) { received.session->close(); });
+  platform.on_request([&, round_trip = round_trip, copy_delay = copy_delay](const Got& received) {
+    if (received.request.method() != http::verb::post) return on_platform(received);
+    posts++;
+    if (posts == 2) return write_later(received.session, round_trip, kFull);
+    finals += received.request.body();
+    write_later(received.session, round_trip, taken);
+    if (posts == 1) write_later(received.session, round_trip + copy_delay, taken);
+  });
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return posts == 1; }, "the first notice");
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return ended("m2"); }, "the second notice is sent until it is taken");
+}
+
 INSTANTIATE_TEST_SUITE_P(Distances, ReuseTest,
                          ::testing::Values(Distance{milliseconds(40), milliseconds(20)},
                                            Distance{milliseconds(150), milliseconds(110)}),
