The sender of notices is a class of its own, apart from discovery's list

Change: NoticeSender (relay/notices), owned by Platform, which passes address changes on; behaviour unchanged.

--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -38,7 +38,7 @@
   requests_.add(id, held.message.id);
   status_.request_added(id, held.message.message_class, held_since(held));
   if (held.ending) {
-    platform_.send_notice(id, held.message.id, *held.ending);
+    platform_.notices().send(id, held.message.id, *held.ending);
     return true;
   }
   if (!config_.names.classes.contains(held.message.message_class)) return false;
--- a/relay/relay_requests.cpp
+++ b/relay/relay_requests.cpp
@@ -109,7 +109,7 @@
       cycle_.notify(event::RequestWithdrawn{id});
     }
     const Held& held = *store_.find(id);
-    platform_.send_notice(id, held.message.id, *held.ending);
+    platform_.notices().send(id, held.message.id, *held.ending);
   }
 }
 
@@ -226,7 +226,8 @@
       continue;
     }
 #endif
-    if (const Held* const held = store_.find(id)) platform_.send_notice(id, held->message.id, *held->ending);
+    if (const Held* const held = store_.find(id))
+      platform_.notices().send(id, held->message.id, *held->ending);
   }
 }
 
@@ -250,7 +251,7 @@
   if (held == nullptr) return;
   const auto timer = std::make_shared<boost::asio::steady_timer>(io_, std::chrono::milliseconds(1500));
   timer->async_wait([this, timer, id, client_id = held->message.id, ending](boost::system::error_code) {
-    platform_.send_notice(id, client_id, ending);
+    platform_.notices().send(id, client_id, ending);
   });
 }
 #endif
--- a/relay/relay_shutdown.cpp
+++ b/relay/relay_shutdown.cpp
@@ -51,7 +51,7 @@
 // records are not durable.
 bool RelayServer::has_open_work() const {
   return !store_.held().empty() || requests_.queued() > 0 || executor_.calls_in_flight() > 0 ||
-         platform_.has_pending_notices() || !committer_.is_settled();
+         platform_.notices().has_pending() || !committer_.is_settled();
 }
 
 // ---- Graceful shutdown. ----
@@ -68,7 +68,7 @@
           .requests_held = store_.held().size(),
           .client_connections = intake_->clients(),
           .requests_queued = requests_.queued() > 0,
-          .notifications_owed = platform_.has_pending_notices(),
+          .notifications_owed = platform_.notices().has_pending(),
           .writes_pending = !committer_.is_writable() || committer_.has_waiting_plans()};
 }
 
