The relay opens a watch also where the settings say that lists are pushed

Cause: in the simulator such changes arrive unprompted, so the module asks for no watch; over sockets only a watch brings them. Change: the relay's configuration sets list_subscription in any case; the simulator's adapter reads it as before. It works because the module then asks for the watch at the start and after each failure, as on sites that subscribe.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -113,6 +113,9 @@
   config.settings = std::move(parsed.settings);
   config.names = std::move(parsed.names);
   limit_concurrent_calls(config);
+  // Over sockets no list arrives unprompted, whatever the settings say of the simulator's: a watch delivers
+  // it.
+  config.settings.list_subscription = true;
   if (const Value* report = find_member(settings, "Report")) {
     config.reports_in_answers =
         optional_field(*report, "How", path + ".Report", as_string, "none") == "answers";
--- a/tests/races/watch_test.cpp
+++ b/tests/races/watch_test.cpp
@@ -129,5 +129,29 @@
   EXPECT_EQ(endpoint.got.size(), 0u) << "s-1 drains, and that was written to the relay";
 }
 
+// The settings of a deployment whose lists are pushed.
+class PushedListTest : public WatchTest {
+ protected:
+  std::string settings() override {
+    std::string text = WatchTest::settings();
+    const std::string subscribed = R"("Discovery":"subscribe")";
+    return text.replace(text.find(subscribed), subscribed.size(), R"("Discovery":"automatic")");
+  }
+};
+
+// Guards against a relay that waits for pushed lists and never opens a watch: it called draining endpoints
+// for ever, and never the new ones.
+TEST_F(PushedListTest, ChangesReachTheRelayOnAWatch) {
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  tell(list(both("draining"), false));
+  const auto is_listed = [&] { return hand_in("m" + std::to_string(counted++), kSafe) == 202u; };
+  wait_for([&] { return is_listed() && !other.got.empty(); }, "the new endpoint is called");
+  const auto before = endpoint.got.size();
+  for (int i = 0; i < 5; i++) EXPECT_TRUE(is_listed());
+  wait_for([&] { return other.got.size() >= 6; }, "their calls");
+  EXPECT_EQ(endpoint.got.size(), before);
+}
+
 }  // namespace
 }  // namespace heronvane::testing
