Connections rest for one round trip, and calls wait for them rather than open others

Change: the delay is the shortest round trip of first requests; a call waits once, up to 100 ms, for a connection in its delay.

--- a/relay/backends/reuse_delay.hpp
+++ b/relay/backends/reuse_delay.hpp
@@ -22,11 +22,8 @@
   // Takes the time from the first request on a new connection to its answer. Only the first one counts:
   // nothing that was written earlier can be mistaken for its answer.
   void record_first_answer(Microseconds elapsed) {
-    if (round_trip_ == 0 || elapsed < round_trip_) {
-      round_trip_ = elapsed;
-    } else {
-      round_trip_ += (elapsed - round_trip_) / kIncreaseDivisor;
-    }
+    round_trip_ = is_measured_ ? std::min(round_trip_, elapsed) : elapsed;
+    is_measured_ = true;
   }
 
   // Unexpected bytes arrived on an idle connection, `elapsed` after the answer before them. Later ones than
@@ -35,23 +32,23 @@
     if (elapsed <= kMaxDelay) longest_gap_ = std::max(longest_gap_, elapsed);
   }
 
-  // The least time between an answer and the next request on its connection. Twice the shortest round trip is
+  // The least time between an answer and the next request on its connection: the shortest round trip. It is
   // exceeded only if the network holds back the later bytes for that much longer than the answer.
   Microseconds delay() const {
-    return std::clamp(kSafetyFactor * std::max(round_trip_, longest_gap_), kMinDelay, kMaxDelay);
+    return std::clamp(std::max(round_trip_, kGapFactor * longest_gap_), kMinDelay, kMaxDelay);
   }
 
-  // The longest that a request should wait for a connection in its delay: a new one takes a round trip to be
-  // established.
-  Microseconds longest_wait() const { return std::clamp(round_trip_, kMinDelay, kMaxDelay); }
+  // Whether a request should wait so long for a connection in its delay rather than use a new one, which
+  // takes a round trip to be established.
+  bool is_worth_waiting(Microseconds wait) const { return wait <= std::min(delay(), kMaxWait); }
 
  private:
-  static constexpr Microseconds kSafetyFactor = 2;
-  // A shorter round trip counts at once, a longer one by this part, since its answer may have been slow.
-  static constexpr Microseconds kIncreaseDivisor = 8;
+  static constexpr Microseconds kGapFactor = 2;
+  static constexpr Microseconds kMaxWait = 100'000;
 
-  Microseconds round_trip_ = 0;   // the shortest lately, with the service time of that answer; 0: unknown
+  Microseconds round_trip_ = 0;   // the shortest, with the service time of that answer
   Microseconds longest_gap_ = 0;  // between an answer and unexpected bytes
+  bool is_measured_ = false;
 };
 
 }  // namespace heronvane
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -189,7 +189,7 @@
 // Whether a call should wait for a connection in its reuse delay rather than open one. It waits once at most:
 // another call may take the connection first.
 bool Calls::should_wait(const Call& call, Microseconds wait, const ReuseDelay& reuse_delay) const {
-  if (call.has_waited || wait > reuse_delay.longest_wait()) return false;
+  if (call.has_waited || !reuse_delay.is_worth_waiting(wait)) return false;
   const bool has_capacity = in_flight_ + idle_pool_.size() < limits_.max_connections;
   return limits_.wait_for_reuse || !has_capacity;
 }
--- a/relay/notices.cpp
+++ b/relay/notices.cpp
@@ -121,9 +121,8 @@
 }
 
 void NoticeSender::post_notices() {
-  // A new connection would take a round trip, too.
   const Microseconds wait = idle_socket_ ? time_until_reusable() : 0;
-  if (wait > 0 && wait <= reuse_delay_.longest_wait()) return post_later(std::chrono::microseconds(wait));
+  if (wait > 0 && reuse_delay_.is_worth_waiting(wait)) return post_later(std::chrono::microseconds(wait));
   const auto post = post_ = std::make_shared<Post>(io_);
   auto& request = post->request;
   for (const auto& [id, text] : pending_notices_) {
