--- a/review/lib-2/partner.py
+++ b/review/lib-2/partner.py
@@ -135,13 +135,17 @@
         due = record.now()
         until = due + seconds
         number = 0
+        block = []   # of 100 messages in a random order, so that the share of each partner is kept at any time
         while due < until:
             due += chance.expovariate(total)
             await asyncio.sleep(max(0, due - record.now()))
             number += 1
             relay = chance.randrange(3)
-            which = chance.random() * total / traffic
-            dest = DEST + int(which) if which < partners else 100 + chance.randrange(9)
+            if not block:
+                block = [DEST + k for k in range(partners) for _ in range(int(100 * traffic / total))]
+                block += [100 + chance.randrange(9) for _ in range(100 - len(block))]
+                chance.shuffle(block)
+            dest = block.pop()
             cls, deadline = ("load-status", 6000) if chance.random() < 0.59 else ("pay-and-order", 24000)
             task = asyncio.ensure_future(clients.hand_in(relay, cls, dest, deadline, id="n%d-%05d" % (relay, number)))
             tasks.add(task)
