The fault injector asks for files by a call that all machines have

Cause: the whole build failed on arm64, whose kernel has no access(2) system call (SYS_access is undefined there); lab/faults/injector.cpp was the only use. Change: faccessat(2) with AT_FDCWD, which x86-64 and arm64 both have.

--- a/lab/faults/injector.cpp
+++ b/lab/faults/injector.cpp
@@ -37,7 +37,7 @@
   ::syscall(SYS_nanosleep, &pause, nullptr);
 }
 
-bool exists(const std::string& file) { return ::syscall(SYS_access, file.c_str(), F_OK) == 0; }
+bool exists(const std::string& file) { return ::syscall(SYS_faccessat, AT_FDCWD, file.c_str(), F_OK) == 0; }
 
 std::string read_whole(const char* file) {
   const auto fd = static_cast<int>(::syscall(SYS_openat, AT_FDCWD, file, O_RDONLY | O_CLOEXEC));
