Outages are judged for the whole rate-limit scope, not for each endpoint alone

Cause: endpoint_tracker counted failures for each endpoint alone. An endpoint with fewer than three of them stayed healthy, though its siblings, which share limit and outage, were ejected, and got all that waited with its first answer.

A second cause: answers after a long silence with a single failure were taken for slow ones.

Change: scope_outage counts failures over all endpoints of a scope. Failures at two of them with nothing served in between eject all; at one of them its siblings stay until the first served call shows whether they serve, or the scope returns: then all start slowly. The rate from before the outage is divided among the endpoints. A restart keeps it.

--- a/src/endpoint_calls.cpp
+++ b/src/endpoint_calls.cpp
@@ -13,9 +13,10 @@
   newest_served_sent_at_ = std::max(newest_served_sent_at_, sent_at);
 }
 
-int EndpointCalls::overdue(Microseconds now, Microseconds patience) const {
+int EndpointCalls::overdue(Microseconds now, Microseconds patience, Microseconds sent_from) const {
   const auto sent_before = [](const Call& call, Microseconds moment) { return call.sent_at < moment; };
-  const auto from = std::lower_bound(in_flight_.begin(), in_flight_.end(), served_at_, sent_before);
+  const Microseconds first = std::max(served_at_, sent_from);
+  const auto from = std::lower_bound(in_flight_.begin(), in_flight_.end(), first, sent_before);
   const auto to = std::lower_bound(from, in_flight_.end(), now - patience, sent_before);
   return static_cast<int>(to - from);
 }
--- a/src/endpoint_calls.hpp
+++ b/src/endpoint_calls.hpp
@@ -21,9 +21,10 @@
   // A call that was sent at `sent_at` was served.
   void record_served(Microseconds now, Microseconds sent_at);
 
-  // The number of calls in flight for longer than `patience` and sent since the last served answer. Earlier
-  // ones do not count: one lost call among many answered ones does not show that the endpoint is silent.
-  int overdue(Microseconds now, Microseconds patience) const;
+  // The number of calls in flight for longer than `patience` and sent since the last served answer, and since
+  // `sent_from`. Earlier ones do not count: one lost call among many answered ones does not show that the
+  // endpoint is silent.
+  int overdue(Microseconds now, Microseconds patience, Microseconds sent_from = 0) const;
   // Whether a call sent after `sent_at` was served.
   bool is_overtaken(Microseconds sent_at) const { return sent_at < newest_served_sent_at_; }
   // Whether nothing was served since `sent_at`. Otherwise the endpoint is slow but working.
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -14,7 +14,7 @@
 };
 
 // By HealthChange, in its order.
-constexpr std::array<Transition, 8> kTransitions{{
+constexpr std::array<Transition, 9> kTransitions{{
     {Health::ejected, "closed", "no connection"},
     {Health::ejected, "closed", "errors"},
     {Health::ejected, "closed", "silent"},
@@ -23,6 +23,7 @@
     {Health::healthy, "slow", ""},
     {Health::slow_start, "forgotten", ""},
     {Health::healthy, "warm", ""},
+    {Health::slow_start, "ramp", "its destination returned"},
 }};
 
 std::string log_text(std::string_view event, const EndpointId& endpoint, std::string_view reason) {
--- a/src/endpoint_state.hpp
+++ b/src/endpoint_state.hpp
@@ -14,15 +14,17 @@
 #include "latency.hpp"
 #include "outlier_detection.hpp"
 #include "rate_limit_scope.hpp"
+#include "scope_outage.hpp"
 #include "slow_start.hpp"
 
 namespace heronvane::dispatch {
 
-// A rate-limit scope and what the checkpoint records about it.
+// A rate-limit scope: its limits, its outage and what the checkpoint records about it.
 struct ScopeState {
   explicit ScopeState(const BackoffScale& scale) : limits(scale) {}
 
   RateLimitScope limits;
+  ScopeOutage outage;
   ScopeMark checkpoint;
 };
 
@@ -45,13 +47,16 @@
   FailureEvidence evidence;
   EndpointHealth health;
   SlowStart slow_start;
-  bool has_attempt_ended = false;  // in this incarnation
-  bool is_restored = false;        // a record of an earlier incarnation was taken
+  Microseconds failed_at = -kNever;  // the last failed call
+  Microseconds ejected_at = kNever;  // first ejection since a call was served; kNever: not ejected since
+  bool has_attempt_ended = false;    // in this incarnation
+  bool is_restored = false;          // a record of an earlier incarnation was taken
   EndpointMark checkpoint;
 
   // The scope whose limits apply. The destination's is kept as a pointer because each call needs it several
   // times.
   ScopeState& scope() { return has_own_limits ? own_scope : *destination_scope; }
+  const ScopeState& scope() const { return has_own_limits ? own_scope : *destination_scope; }
   RateLimitScope& limits() { return scope().limits; }
   // Ejected or recovering, and nothing served since the last failure: its calls are health checks.
   bool is_on_trial() const { return !health.is_healthy() && evidence.consecutive_failures() > 0; }
--- a/src/endpoint_tracker.cpp
+++ b/src/endpoint_tracker.cpp
@@ -9,6 +9,9 @@
 namespace heronvane::dispatch {
 namespace {
 
+constexpr int kLeastConcerned = 2;           // endpoints in an outage, from which on it counts as that of all
+constexpr double kLeastBaselineOfFleet = 3;  // calls a second of all relays
+
 HealthChange ejection_by(Outcome outcome) {
   if (outcome == Outcome::connect_failed) return HealthChange::ejected_connect_failed;
   if (outcome == Outcome::error) return HealthChange::ejected_errors;
@@ -40,7 +43,8 @@
   // the slots.
   if (endpoint.is_on_trial())
     return health_check_slots_.is_any_free(settings_) ? settings_.max_concurrent_calls : 0;
-  const bool is_doubtful = endpoint.overdue_calls(now) > 0 || endpoint.evidence.consecutive_failures() > 0;
+  const bool is_doubtful = endpoint.overdue_calls(now) > 0 || endpoint.evidence.consecutive_failures() > 0 ||
+                           endpoint.scope().outage.is_ejected();
   return endpoint.concurrency.limit(
       settings_, {is_doubtful, endpoint.served.per_second(now), endpoint.latency.recent()});
 }
@@ -57,8 +61,9 @@
 
 void EndpointTracker::apply(const Endpoint& listed, DecisionPass& pass) {
   const EndpointRegistry::Applied applied = registry_.apply(listed, pass.now);
-  if (applied.model == nullptr) return;
   EndpointState& endpoint = *applied.endpoint;
+  endpoint.scope().outage.start(pass.now);
+  if (applied.model == nullptr) return;
   endpoint.health.copy_from(applied.model->health);
   endpoint.slow_start.begin(pass.now, applied.model->slow_start.baseline_rate(), pass.random.uniform());
   endpoint.slow_start.schedule_health_check(pass.now);
@@ -84,7 +89,10 @@
   const bool is_known = state.health == Health::ejected || state.health == Health::slow_start;
   const bool has_newer = endpoint->has_attempt_ended || !endpoint->health.is_healthy() ||
                          endpoint->evidence.consecutive_failures() > 0;
-  if (is_known && !has_newer) restore_health(*endpoint, state, written, pass);
+  if (is_known && !has_newer) {
+    restore_health(*endpoint, state, written, pass);
+    restore_scope_outage(*endpoint, pass.now);
+  }
   update_health_check_slots(*endpoint);
   Checkpoint::mark_stored(*endpoint);
   checkpoint_.schedule(*endpoint, pass.now);
@@ -113,6 +121,22 @@
   endpoint.slow_start.schedule_health_check(pass.now + draw_health_check_gap(endpoint, pass));
 }
 
+// Records tell of endpoints alone: where one is healthy, the others were out on their own.
+void EndpointTracker::restore_scope_outage(EndpointState& endpoint, Microseconds now) {
+  const std::vector<EndpointState*> active = active_in_scope_of(endpoint);
+  Health health = Health::slow_start;
+  Microseconds since = -kNever;
+  double baseline_rate = 0;
+  for (const EndpointState* const sibling : active) {
+    if (sibling->health.is_healthy()) return;
+    if (sibling->health.is_ejected()) health = Health::ejected;
+    since = std::max(since, sibling->health.since());
+    baseline_rate += sibling->slow_start.baseline_rate();
+  }
+  if (active.empty()) return;
+  outage_of(endpoint, now).restore(health, since, baseline_rate);
+}
+
 bool EndpointTracker::record_attempt(EndpointState& endpoint, const event::AttemptEnded& ended,
                                      const EndedAttempt& result, DecisionPass& pass) {
   if (ended.retry_after > 0) {
@@ -147,7 +171,7 @@
   } else if (ended.outcome == Outcome::rejected) {
     record_rejected(endpoint, pass);
   } else {
-    record_failed(endpoint, ended.outcome, ended.latency, result.batch_size, pass);
+    record_failed(endpoint, ended, result, pass);
   }
 }
 
@@ -157,13 +181,17 @@
   endpoint.calls.record_served(pass.now, sent_at);
   endpoint.limits().record_served(pass.now, shared_limits_);
   endpoint.served.record(pass.now);
+  const Microseconds overdue_after = endpoint.latency.overdue_after();  // this answer may be late itself
   endpoint.latency.record_served(latency, slowness_);
   const bool was_only_slow = endpoint.evidence.record_served(background_failures_);
-  if (endpoint.health.is_ejected()) {
+  endpoint.ejected_at = kNever;
+  const bool was_ejected = endpoint.health.is_ejected();
+  if (was_ejected) {
     const auto change = was_only_slow ? HealthChange::answered_late : HealthChange::served_after_ejection;
     endpoint.health.apply(pass, change, endpoint.info.id);
     checkpoint_by(endpoint, pass.now);
   }
+  record_scope_served(endpoint, was_ejected, overdue_after, pass);
   endpoint.connections.record_served();
   endpoint.batching.record_served();
   endpoint.concurrency.record_served(pass.now);
@@ -178,6 +206,8 @@
   const bool is_outage = limits.is_outage(pass.now);
   if (!is_outage && endpoint.health.is_healthy()) return;
   endpoint.evidence.mark_failing();
+  ScopeOutage& outage = outage_of(endpoint, pass.now);
+  if (is_outage || outage.is_ejected()) outage.eject(pass.now, scope_baseline_rate(outage, pass.now));
   if (endpoint.has_own_limits) {
     if (is_outage || endpoint.health.is_ejected()) eject(endpoint, HealthChange::ejected_rejections, pass);
     return;
@@ -188,27 +218,35 @@
     sibling->evidence.add_failure();
     eject(*sibling, HealthChange::ejected_rejections, pass);
   }
+  divide_baseline_rate(endpoint, pass.now);
 }
 
-void EndpointTracker::record_failed(EndpointState& endpoint, Outcome outcome, Microseconds elapsed,
-                                    int batch_size, DecisionPass& pass) {
+void EndpointTracker::record_failed(EndpointState& endpoint, const event::AttemptEnded& ended,
+                                    const EndedAttempt& result, DecisionPass& pass) {
+  const Outcome outcome = ended.outcome;
   endpoint.limits().record_failed(pass.now);
   settle_budget(endpoint, pass.now);
   note_connections_exhausted(endpoint, outcome, pass.now);
   endpoint.evidence.record_failed(outcome);
+  endpoint.failed_at = pass.now;
   if (outcome == Outcome::timeout || outcome == Outcome::cancelled) {
-    endpoint.latency.record_unanswered(elapsed);
+    endpoint.latency.record_unanswered(ended.latency);
     endpoint.connections.close_in_doubt(pass, endpoint.info.id);
   }
   // A failure that may be chance does not reduce the batch size: with a limit on calls, small batches would
   // starve the other requests.
   if (background_failures_.run_beyond_chance() == 1 || endpoint.evidence.consecutive_failures() > 1)
-    endpoint.batching.record_failed(batch_size);
+    endpoint.batching.record_failed(result.batch_size);
   const FailureEvidence::Circumstances circumstances{endpoint.health.state(), outcome,
                                                      endpoint.demand.per_second(pass.now),
                                                      endpoint.overdue_calls(pass.now)};
+  ScopeOutage& outage = outage_of(endpoint, pass.now);
+  const bool concerns_all = concerns_scope(endpoint, outage, result.sent_at);
   if (endpoint.evidence.is_outlier(circumstances, background_failures_))
     eject(endpoint, ejection_by(outcome), pass);
+  if (!concerns_all) return;
+  outage.record_failed(outcome, result.sent_at);
+  if (is_scope_outlier(endpoint, outage, pass.now)) eject_scope(endpoint, ejection_by(outcome), pass);
 }
 
 void EndpointTracker::note_connections_exhausted(EndpointState& endpoint, Outcome outcome, Microseconds now) {
@@ -220,7 +258,6 @@
 }
 
 void EndpointTracker::eject(EndpointState& endpoint, HealthChange reason, DecisionPass& pass) {
-  constexpr double kLeastBaselineOfFleet = 3;  // calls a second of all relays
   if (endpoint.health.is_healthy()) {
     const double baseline =
         std::max(endpoint.demand.per_second(pass.now), kLeastBaselineOfFleet / settings_.relays);
@@ -229,17 +266,119 @@
     settle_budget(endpoint, pass.now);
   }
   if (!endpoint.health.is_ejected()) checkpoint_by(endpoint, pass.now);
+  if (endpoint.ejected_at == kNever) endpoint.ejected_at = pass.now;
   endpoint.health.apply(pass, reason, endpoint.info.id);
   endpoint.slow_start.schedule_health_check(pass.now + draw_health_check_gap(endpoint, pass));
   update_health_check_slots(endpoint);
 }
 
+ScopeOutage& EndpointTracker::outage_of(EndpointState& endpoint, Microseconds now) const {
+  ScopeOutage& outage = endpoint.scope().outage;
+  outage.advance(now, slow_start_.window());
+  return outage;
+}
+
+std::vector<EndpointState*> EndpointTracker::in_scope_of(EndpointState& endpoint) {
+  if (endpoint.has_own_limits) return {&endpoint};
+  std::vector<EndpointState*> found = registry_.at(endpoint.info.destination).endpoints;
+  std::erase_if(found, [](const EndpointState* sibling) { return sibling->has_own_limits; });
+  return found;
+}
+
+std::vector<EndpointState*> EndpointTracker::active_in_scope_of(EndpointState& endpoint) {
+  std::vector<EndpointState*> found = in_scope_of(endpoint);
+  std::erase_if(found, [](const EndpointState* sibling) { return sibling->info.listing != Listing::active; });
+  return found;
+}
+
+// It says nothing where another endpoint served meanwhile, or has served since this one was ejected: then the
+// outage is that of this endpoint alone.
+bool EndpointTracker::concerns_scope(const EndpointState& endpoint, const ScopeOutage& outage,
+                                     Microseconds sent_at) {
+  return outage.served_at() <= std::min(sent_at, endpoint.ejected_at);
+}
+
+bool EndpointTracker::is_scope_outlier(EndpointState& endpoint, const ScopeOutage& outage, Microseconds now) {
+  if (outage.evidence().consecutive_failures() == 0) return false;
+  int overdue = 0;
+  for (const EndpointState* const sibling : in_scope_of(endpoint))
+    overdue += sibling->calls.overdue(now, sibling->latency.overdue_after(), outage.served_at());
+  return outage.is_outlier(now, overdue, background_failures_);
+}
+
+// Whether the endpoint has a failed or overdue call since the scope last served, and was not out before.
+bool EndpointTracker::is_in_outage(const EndpointState& endpoint, const ScopeOutage& outage,
+                                   Microseconds now) {
+  const Microseconds since = outage.served_at();
+  if (endpoint.ejected_at < since) return false;
+  return endpoint.failed_at > since ||
+         endpoint.calls.overdue(now, endpoint.latency.overdue_after(), since) > 0;
+}
+
+// Where only one endpoint is concerned, the others stay: they may still serve.
+void EndpointTracker::eject_scope(EndpointState& endpoint, HealthChange reason, DecisionPass& pass) {
+  ScopeOutage& outage = outage_of(endpoint, pass.now);
+  outage.eject(pass.now, scope_baseline_rate(outage, pass.now));
+  const std::vector<EndpointState*> all = in_scope_of(endpoint);
+  const auto concerned = std::count_if(all.begin(), all.end(), [&](const EndpointState* sibling) {
+    return is_in_outage(*sibling, outage, pass.now);
+  });
+  for (EndpointState* const sibling : active_in_scope_of(endpoint)) {
+    if (sibling->health.is_ejected()) continue;
+    if (concerned < kLeastConcerned && !is_in_outage(*sibling, outage, pass.now)) continue;
+    sibling->evidence.mark_failing();
+    settle_budget(*sibling, pass.now);
+    eject(*sibling, reason, pass);
+  }
+  divide_baseline_rate(endpoint, pass.now);
+}
+
+// A scope that an endpoint without any failure serves soon after the others failed was not out: the outage is
+// theirs alone.
+void EndpointTracker::record_scope_served(EndpointState& endpoint, bool was_ejected,
+                                          Microseconds overdue_after, DecisionPass& pass) {
+  ScopeOutage& outage = outage_of(endpoint, pass.now);
+  const bool was_long = outage.unanswered_for(pass.now) > overdue_after;
+  const bool was_out = outage.is_ejected() || is_scope_outlier(endpoint, outage, pass.now);
+  if (was_out && (was_ejected || was_long)) start_scope_slowly(endpoint, pass);
+  outage.record_served(pass.now);
+}
+
+void EndpointTracker::start_scope_slowly(EndpointState& endpoint, DecisionPass& pass) {
+  ScopeOutage& outage = outage_of(endpoint, pass.now);
+  outage.begin_slow_start(pass.now, scope_baseline_rate(outage, pass.now));
+  for (EndpointState* const sibling : active_in_scope_of(endpoint)) {
+    if (!sibling->health.is_healthy()) continue;
+    sibling->slow_start.begin(pass.now, 0, pass.random.uniform());
+    sibling->health.apply(pass, HealthChange::scope_served_again, sibling->info.id);
+    update_health_check_slots(*sibling);
+    checkpoint_by(*sibling, pass.now);
+  }
+  divide_baseline_rate(endpoint, pass.now);
+}
+
+void EndpointTracker::divide_baseline_rate(EndpointState& endpoint, Microseconds now) {
+  const ScopeOutage& outage = outage_of(endpoint, now);
+  if (outage.health() == Health::healthy) return;
+  const std::vector<EndpointState*> active = active_in_scope_of(endpoint);
+  for (EndpointState* const sibling : active) {
+    if (sibling->health.is_healthy()) continue;
+    settle_budget(*sibling, now);
+    sibling->slow_start.set_baseline_rate(outage.baseline_rate() / static_cast<double>(active.size()));
+  }
+}
+
+double EndpointTracker::scope_baseline_rate(const ScopeOutage& outage, Microseconds now) const {
+  return std::max(outage.demand_per_s(now), kLeastBaselineOfFleet / settings_.relays);
+}
+
 void EndpointTracker::advance_health(EndpointState& endpoint, DecisionPass& pass) {
   if (endpoint.health.is_healthy() || pass.now < health_ends_at(endpoint)) return;
   settle_budget(endpoint, pass.now);
   if (endpoint.health.is_slow_start()) {
     endpoint.health.apply(pass, HealthChange::warmed_up, endpoint.info.id);
     endpoint.evidence.clear();
+    endpoint.ejected_at = kNever;
     // Its health-check slots are freed for the next pass only: the order of requests in this pass was decided
     // without them.
     warmed_up_.push_back(&endpoint);
@@ -256,7 +395,10 @@
   endpoint.calls.begin(call, pass.now);
   endpoint.batching.begin_call(call, pass.now);
   update_health_check_slots(endpoint);
-  if (endpoint.health.is_healthy() && is_first_attempt) endpoint.demand.record(pass.now);
+  if (endpoint.health.is_healthy() && is_first_attempt) {
+    endpoint.demand.record(pass.now);
+    endpoint.scope().outage.record_first_attempt(pass.now);
+  }
   endpoint.connections.record_call_began(pass.now);
   endpoint.limits().consume(pass.now);
   if (!endpoint.health.is_healthy()) {
--- a/src/endpoint_tracker.hpp
+++ b/src/endpoint_tracker.hpp
@@ -87,12 +87,35 @@
                       DecisionPass& pass);
   void record_served(EndpointState& endpoint, Microseconds sent_at, Microseconds latency, DecisionPass& pass);
   void record_rejected(EndpointState& endpoint, DecisionPass& pass);
-  void record_failed(EndpointState& endpoint, Outcome outcome, Microseconds elapsed, int batch_size,
+  void record_failed(EndpointState& endpoint, const event::AttemptEnded& ended, const EndedAttempt& result,
                      DecisionPass& pass);
   static void note_connections_exhausted(EndpointState& endpoint, Outcome outcome, Microseconds now);
   void eject(EndpointState& endpoint, HealthChange reason, DecisionPass& pass);
+  // The outage of the endpoint's scope, as of `now`.
+  ScopeOutage& outage_of(EndpointState& endpoint, Microseconds now) const;
+  // The endpoints that share the scope, `endpoint` among them; all, and those that may get calls.
+  std::vector<EndpointState*> in_scope_of(EndpointState& endpoint);
+  std::vector<EndpointState*> active_in_scope_of(EndpointState& endpoint);
+  // Whether a failed call, sent at `sent_at`, says something of the whole scope.
+  static bool concerns_scope(const EndpointState& endpoint, const ScopeOutage& outage, Microseconds sent_at);
+  // Whether failed or overdue calls suggest an outage of the scope.
+  bool is_scope_outlier(EndpointState& endpoint, const ScopeOutage& outage, Microseconds now);
+  static bool is_in_outage(const EndpointState& endpoint, const ScopeOutage& outage, Microseconds now);
+  // Ejects the endpoints of the scope that are in its outage, or all of them.
+  void eject_scope(EndpointState& endpoint, HealthChange reason, DecisionPass& pass);
+  // Decides with the first served call whether the scope returns from an outage. `overdue_after`: how long a
+  // call may take.
+  void record_scope_served(EndpointState& endpoint, bool was_ejected, Microseconds overdue_after,
+                           DecisionPass& pass);
+  void start_scope_slowly(EndpointState& endpoint, DecisionPass& pass);
+  // Divides the scope's rate from before its outage among its active endpoints.
+  void divide_baseline_rate(EndpointState& endpoint, Microseconds now);
+  // Calls a second of this relay to the whole scope, as an outage that begins now remembers them.
+  double scope_baseline_rate(const ScopeOutage& outage, Microseconds now) const;
   void restore_health(EndpointState& endpoint, const LearnedState& state, Microseconds written,
                       DecisionPass& pass);
+  // To be called after restore_health().
+  void restore_scope_outage(EndpointState& endpoint, Microseconds now);
   // Draws the pause before the next call to an ejected endpoint.
   Microseconds draw_health_check_gap(EndpointState& endpoint, DecisionPass& pass);
   // To be called after each change of an endpoint's health, failures or calls.
--- a/src/outlier_detection.cpp
+++ b/src/outlier_detection.cpp
@@ -11,7 +11,8 @@
 constexpr int kEjectingRun = 3;  // failures in a row, calls overdue included
 constexpr double kEjectingFailureRate = 0.5;
 constexpr double kNewestWeight = 0.15;  // in an endpoint's failure rate
-// With few calls of this relay fewer failures suffice: as many as it makes calls in this time.
+// With few calls of this relay fewer failures suffice: as many as it makes calls in this time. One suffices
+// where nothing was served for as long.
 constexpr double kEvidenceSeconds = 3;
 
 }  // namespace
@@ -31,12 +32,16 @@
 }
 
 bool FailureEvidence::record_served(BackgroundFailureRate& background) {
-  failure_rate_ *= 1 - kNewestWeight;
-  const bool was_only_slow = consecutive_failures_ == 0 && failure_rate_ < kEjectingFailureRate / 2;
   background.record_served(isolated_failures_);
+  const int run = consecutive_failures_;
+  end_run();
+  return run == 0 && failure_rate_ < kEjectingFailureRate / 2;
+}
+
+void FailureEvidence::end_run() {
+  failure_rate_ *= 1 - kNewestWeight;
   isolated_failures_ = 0;
   consecutive_failures_ = 0;
-  return was_only_slow;
 }
 
 void FailureEvidence::record_failed(Outcome outcome) {
@@ -58,8 +63,9 @@
 bool FailureEvidence::is_outlier(const Circumstances& circumstances,
                                  const BackgroundFailureRate& background) const {
   const int chance = background.run_beyond_chance();
-  const int by_demand =
+  int by_demand =
       std::clamp(static_cast<int>(std::ceil(kEvidenceSeconds * circumstances.demand_per_s)), 1, kEjectingRun);
+  if (circumstances.unanswered_s >= kEvidenceSeconds) by_demand = 1;
   // A single error is weak evidence: healthy endpoints return some, too.
   const int by_outcome = circumstances.last_outcome == Outcome::error ? 2 : 1;
   if (consecutive_failures_ >= std::max({by_demand, by_outcome, chance})) return true;
--- a/src/outlier_detection.hpp
+++ b/src/outlier_detection.hpp
@@ -30,6 +30,7 @@
     Outcome last_outcome = Outcome::error;
     double demand_per_s = 0;  // first attempts of this relay
     int overdue_calls = 0;
+    double unanswered_s = 0;  // how long all calls have failed or are unanswered; 0: not known
   };
 
   int consecutive_failures() const { return consecutive_failures_; }
@@ -39,6 +40,8 @@
   // Returns whether overdue calls were the only evidence against the endpoint: it was slow, not unavailable.
   bool record_served(BackgroundFailureRate& background);
   void record_failed(Outcome outcome);
+  // Another call was served: the failures before it do not form a run with later ones.
+  void end_run();
   // A rejection is not a failure: the endpoint is reachable.
   void record_rejected() { last_failure_possibly_executed_ = false; }
   // Rejections indicate an outage: mark_failing() makes the run at least one failure long, add_failure() one
--- a/src/slow_start.hpp
+++ b/src/slow_start.hpp
@@ -58,6 +58,8 @@
   // allowed at `moment`, at most 1. Each relay draws its own at random, so that the first calls of many
   // relays are spread.
   void begin(Microseconds moment, double baseline_rate, double budget);
+  // The budget must have been settled.
+  void set_baseline_rate(double rate) { baseline_rate_ = rate; }
   void limit_budget(Microseconds now, double most, const SlowStartPolicy& policy, const RecoveryPhase& phase);
   // While the endpoint is ejected, no call goes there before `moment`.
   void schedule_health_check(Microseconds moment) { health_check_at_ = moment; }
--- a/tests/policy/endpoint_tracker_test.cpp
+++ b/tests/policy/endpoint_tracker_test.cpp
@@ -196,6 +196,94 @@
   EXPECT_EQ(restore(), nullptr);
 }
 
+// ---- Outages of a whole rate-limit scope ----
+
+// A destination whose three endpoints a, b and e share one limit, and an endpoint c with its own limit.
+class ScopeOutageTrackerTest : public EndpointTrackerTest {
+ protected:
+  ScopeOutageTrackerTest() {
+    harness_.at(
+        0, [&](DecisionPass& pass) { tracker_.apply(event::EndpointListUpdate{{listed("e", 1, 0)}}, pass); });
+    for (Microseconds at = 0; at < 10 * kSecond; at += kSecond / 10)
+      for (const char* const id : {"a", "b", "c", "e"}) call(id, at, at + kSecond / 20, Outcome::served);
+  }
+  void fail_between(const EndpointId& id, Microseconds sent_at, Microseconds ended_at) {
+    call(id, sent_at, ended_at, Outcome::timeout);
+  }
+};
+
+// Guards against a burst from relays that saw too few calls fail at each endpoint to eject it.
+TEST_F(ScopeOutageTrackerTest, EjectsAllEndpointsWhereFailuresAreSpreadOverThem) {
+  fail_between("a", 11 * kSecond, 13 * kSecond);
+  fail_between("a", 11 * kSecond, 13 * kSecond);
+  EXPECT_TRUE(at("a").health.is_healthy());
+  fail_between("b", 11 * kSecond, 13 * kSecond);
+  for (const char* const id : {"a", "b", "e"}) EXPECT_TRUE(at(id).health.is_ejected()) << id;
+  call("e", 14 * kSecond, 15 * kSecond, Outcome::served);
+  EXPECT_TRUE(at("e").health.is_slow_start());
+  const ScopeOutage& outage = at("e").scope().outage;
+  EXPECT_GT(outage.baseline_rate(), 15);  // of 30 calls a second before
+  EXPECT_DOUBLE_EQ(at("e").slow_start.baseline_rate(), outage.baseline_rate() / 3);
+}
+
+// Guards against a burst to an endpoint that saw no call fail while its siblings were found to be out.
+TEST_F(ScopeOutageTrackerTest, StartsSlowlyAtEveryEndpointOfAScopeThatServedNothingForLong) {
+  for (int i = 0; i < 3; i++) fail_between("a", 11 * kSecond, 13 * kSecond);
+  EXPECT_TRUE(at("b").health.is_healthy());
+  call("b", 19 * kSecond, 19 * kSecond + kSecond / 10, Outcome::served);
+  EXPECT_TRUE(at("a").health.is_ejected());
+  EXPECT_TRUE(at("b").health.is_slow_start());
+  EXPECT_TRUE(at("e").health.is_slow_start());
+}
+
+// Guards against the same where a single failed call is all that the relay saw in a long silence.
+TEST_F(ScopeOutageTrackerTest, StartsSlowlyAfterOneFailureAndALongSilence) {
+  fail_between("a", 11 * kSecond, 13 * kSecond);
+  fail_between("c", 11 * kSecond, 13 * kSecond);
+  call("a", 12 * kSecond, 19 * kSecond, Outcome::served);
+  call("c", 12 * kSecond, 19 * kSecond, Outcome::served);
+  for (const char* const id : {"a", "b", "c", "e"}) EXPECT_TRUE(at(id).health.is_slow_start()) << id;
+  EXPECT_TRUE(at("d").health.is_healthy());
+}
+
+// Guards against one dead endpoint that closes siblings which answer.
+TEST_F(ScopeOutageTrackerTest, LeavesEndpointsAloneThatServeWhileOneIsOut) {
+  fail("a", 3, 11 * kSecond);
+  ASSERT_TRUE(at("a").health.is_ejected());
+  call("b", 11 * kSecond, 11 * kSecond + kSecond / 10, Outcome::served);
+  for (int second = 12; second < 40; second++) {
+    call("a", second * kSecond, second * kSecond + kMillisecond, Outcome::connect_failed);
+    call("b", (second + 5) * kSecond, (second + 6) * kSecond, Outcome::served);
+    EXPECT_TRUE(at("b").health.is_healthy());
+    EXPECT_TRUE(at("e").health.is_healthy());
+  }
+}
+
+// Guards against calls that time out at one endpoint being taken for an outage of those that served
+// meanwhile.
+TEST_F(ScopeOutageTrackerTest, CountsNoFailureOfACallDuringWhichAnotherEndpointServed) {
+  call("b", 12 * kSecond, 12 * kSecond + kSecond / 10, Outcome::served);
+  for (int i = 0; i < 5; i++) fail_between("a", 11 * kSecond, 13 * kSecond);
+  EXPECT_EQ(at("b").scope().outage.evidence().consecutive_failures(), 0);
+  EXPECT_TRUE(at("b").health.is_healthy());
+}
+
+// Guards against a relay that forgets in a restart that a whole scope was out.
+TEST_F(EndpointTrackerTest, RestoresTheOutageOfAScopeWhereAllItsEndpointsWereOut) {
+  event::LearnedStateRestored record;
+  record.state.destination = 1;
+  record.state.health = Health::ejected;
+  record.state.consecutive_failures = 3;
+  record.state.baseline_rate = 4;
+  for (const char* const id : {"a", "b"}) {
+    EXPECT_FALSE(at("a").scope().outage.is_ejected());
+    record.state.endpoint = id;
+    harness_.at(kSecond, [&](DecisionPass& pass) { tracker_.apply(record, pass); });
+  }
+  EXPECT_TRUE(at("a").scope().outage.is_ejected());
+  EXPECT_DOUBLE_EQ(at("a").scope().outage.baseline_rate(), 8);
+}
+
 // ---- The checkpoint ----
 
 class CheckpointTest : public EndpointTrackerTest {
