New endpoints take over the outage of their destination, not only their siblings' health

Cause: a new endpoint copied that its siblings were ejected, but not their failures; its first answer then counted as that of an endpoint that was only slow, which is healthy at once. With a healthy sibling it copied nothing. Each copied the whole rate of its model.

Evidence: the log shows "slow s-2" at the first answer, where a return reads "ramp".

Change: a new endpoint joins the state of its rate-limit scope: ejected, with the failures, or the slow start from its beginning. The scope's rate is divided anew with each list. A restored endpoint that is ejected without failures starts slowly, too.

--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -49,4 +49,9 @@
   pass.actions.log(log_text("recalled", endpoint, ""));
 }
 
+void EndpointHealth::join(Health of_scope, Microseconds since) {
+  state_ = of_scope;
+  since_ = since;
+}
+
 }  // namespace heronvane::dispatch
--- a/src/endpoint_health.hpp
+++ b/src/endpoint_health.hpp
@@ -39,6 +39,8 @@
   // with a new endpoint from its siblings, which is not.
   void restore(DecisionPass& pass, Health learned, Microseconds since, const EndpointId& endpoint);
   void copy_from(const EndpointHealth& sibling) { *this = sibling; }
+  // A new endpoint takes the health of its rate-limit scope, which is not logged.
+  void join(Health of_scope, Microseconds since);
 
  private:
   Health state_ = Health::healthy;
--- a/src/endpoint_registry.cpp
+++ b/src/endpoint_registry.cpp
@@ -45,7 +45,7 @@
   endpoint.demand.start(now);
   const EndpointState* const model = endpoint.has_own_limits ? nullptr : model_among(siblings);
   siblings.push_back(&endpoint);
-  return {&endpoint, model};
+  return {&endpoint, model, true};
 }
 
 void EndpointRegistry::configure(EndpointState& endpoint) {
--- a/src/endpoint_registry.hpp
+++ b/src/endpoint_registry.hpp
@@ -42,6 +42,7 @@
     // For a new endpoint without own limits: the sibling whose health it takes over, because a new endpoint
     // does not bypass an outage of its destination; else null.
     const EndpointState* model = nullptr;
+    bool is_new = false;
   };
   Applied apply(const Endpoint& listed, Microseconds now);
   // To be called before and after the entries of a complete list: endpoints that it does not name are gone.
--- a/src/endpoint_tracker.cpp
+++ b/src/endpoint_tracker.cpp
@@ -62,10 +62,25 @@
 void EndpointTracker::apply(const Endpoint& listed, DecisionPass& pass) {
   const EndpointRegistry::Applied applied = registry_.apply(listed, pass.now);
   EndpointState& endpoint = *applied.endpoint;
-  endpoint.scope().outage.start(pass.now);
-  if (applied.model == nullptr) return;
-  endpoint.health.copy_from(applied.model->health);
-  endpoint.slow_start.begin(pass.now, applied.model->slow_start.baseline_rate(), pass.random.uniform());
+  ScopeOutage& outage = outage_of(endpoint, pass.now);
+  outage.start(pass.now);
+  if (applied.is_new && !endpoint.has_own_limits && outage.health() != Health::healthy) {
+    join_scope_outage(endpoint, pass);
+  } else if (applied.model != nullptr) {
+    endpoint.health.copy_from(applied.model->health);
+    endpoint.evidence.copy_from(applied.model->evidence);
+    endpoint.slow_start.begin(pass.now, applied.model->slow_start.baseline_rate(), pass.random.uniform());
+    endpoint.slow_start.schedule_health_check(pass.now);
+    checkpoint_by(endpoint, pass.now);
+  }
+  divide_baseline_rate(endpoint, pass.now);
+}
+
+void EndpointTracker::join_scope_outage(EndpointState& endpoint, DecisionPass& pass) {
+  const ScopeOutage& outage = endpoint.scope().outage;
+  endpoint.health.join(outage.health(), outage.since());
+  if (outage.is_ejected()) endpoint.evidence.copy_from(outage.evidence());
+  endpoint.slow_start.begin(pass.now, 0, pass.random.uniform());
   endpoint.slow_start.schedule_health_check(pass.now);
   checkpoint_by(endpoint, pass.now);
 }
@@ -112,6 +127,7 @@
       state.health == Health::slow_start ? written - time_in_health : pass.now - ejected_for;
   endpoint.health.restore(pass, state.health, since, endpoint.info.id);
   endpoint.evidence.restore(state);
+  if (endpoint.health.is_ejected()) endpoint.evidence.mark_failing();
   endpoint.batching.restore(state.batch_size);
   // The budget is at most what the stored one could have grown to, and at most a random value drawn as in
   // eject().
--- a/src/endpoint_tracker.hpp
+++ b/src/endpoint_tracker.hpp
@@ -83,6 +83,8 @@
 
  private:
   void apply(const Endpoint& listed, DecisionPass& pass);
+  // A new endpoint takes over what is known of the outage of its scope, which is not healthy.
+  void join_scope_outage(EndpointState& endpoint, DecisionPass& pass);
   void record_outcome(EndpointState& endpoint, const event::AttemptEnded& ended, const EndedAttempt& result,
                       DecisionPass& pass);
   void record_served(EndpointState& endpoint, Microseconds sent_at, Microseconds latency, DecisionPass& pass);
--- a/src/outlier_detection.cpp
+++ b/src/outlier_detection.cpp
@@ -80,6 +80,12 @@
   return failure_rate_ > kEjectingFailureRate + background_rate;
 }
 
+void FailureEvidence::copy_from(const FailureEvidence& siblings) {
+  *this = siblings;
+  isolated_failures_ = 0;
+  mark_failing();
+}
+
 void FailureEvidence::restore(const LearnedState& state) {
   constexpr int kMostRestored = 1'000;
   consecutive_failures_ = bounded(0, state.consecutive_failures, kMostRestored);
--- a/src/outlier_detection.hpp
+++ b/src/outlier_detection.hpp
@@ -53,6 +53,9 @@
 
   // Whether the failures are enough to eject.
   bool is_outlier(const Circumstances& circumstances, const BackgroundFailureRate& background) const;
+  // A new endpoint takes over that calls failed at its siblings: its first served call shows that they
+  // returned, not that it was never out.
+  void copy_from(const FailureEvidence& siblings);
   // Takes over what an earlier incarnation had stored.
   void restore(const LearnedState& state);
 
--- a/tests/policy/endpoint_tracker_test.cpp
+++ b/tests/policy/endpoint_tracker_test.cpp
@@ -268,6 +268,57 @@
   EXPECT_TRUE(at("b").health.is_healthy());
 }
 
+// Guards against the first answer of a new endpoint being taken for the proof that it was never out.
+TEST_F(ScopeOutageTrackerTest, StartsSlowlyAtNewEndpointsOfAScopeThatReturns) {
+  for (int i = 0; i < 3; i++) fail_between("a", 11 * kSecond, 13 * kSecond);
+  ASSERT_TRUE(at("b").health.is_healthy());
+  harness_.at(14 * kSecond, [&](DecisionPass& pass) {
+    tracker_.apply(event::EndpointListUpdate{{listed("f", 1, 0)}}, pass);
+  });
+  EXPECT_TRUE(at("f").is_on_trial());
+  call("f", 19 * kSecond, 19 * kSecond + kSecond / 10, Outcome::served);
+  EXPECT_TRUE(at("f").health.is_slow_start());
+  harness_.at(20 * kSecond, [&](DecisionPass& pass) {
+    tracker_.apply(event::EndpointListUpdate{{listed("g", 1, 0)}}, pass);
+  });
+  EXPECT_TRUE(at("g").health.is_slow_start());
+  EXPECT_EQ(at("g").health.since(), at("f").health.since());
+}
+
+// Guards against a budget that grows with the number of endpoints that replace others.
+TEST_F(ScopeOutageTrackerTest, DividesTheRateFromBeforeTheOutageAmongTheEndpointsThatAreListed) {
+  for (const char* const id : {"a", "b", "e"}) fail_between(id, 11 * kSecond, 13 * kSecond);
+  const double rate = at("a").scope().outage.baseline_rate();
+  harness_.at(14 * kSecond, [&](DecisionPass& pass) {
+    Endpoint draining = listed("a", 1, 0);
+    draining.listing = Listing::draining;
+    tracker_.apply(event::EndpointListUpdate{{listed("f", 1, 0), listed("g", 1, 0), draining}}, pass);
+  });
+  for (const char* const id : {"b", "e", "f", "g"})
+    EXPECT_DOUBLE_EQ(at(id).slow_start.baseline_rate(), rate / 4) << id;
+}
+
+// Guards against a new endpoint that is closed where only one of its siblings is out.
+TEST_F(ScopeOutageTrackerTest, LeavesNewEndpointsAloneWhereOnlyOneSiblingIsOut) {
+  fail("a", 3, 11 * kSecond);
+  call("b", 11 * kSecond, 11 * kSecond + kSecond / 10, Outcome::served);
+  harness_.at(14 * kSecond, [&](DecisionPass& pass) {
+    tracker_.apply(event::EndpointListUpdate{{listed("f", 1, 0)}}, pass);
+  });
+  EXPECT_TRUE(at("f").health.is_healthy());
+}
+
+// Guards against a restored endpoint whose record names no failures being taken for one that was only slow.
+TEST_F(EndpointTrackerTest, StartsSlowlyAtARestoredEndpointWithoutFailures) {
+  event::LearnedStateRestored record;
+  record.state.destination = 1;
+  record.state.endpoint = "a";
+  record.state.health = Health::ejected;
+  harness_.at(kSecond, [&](DecisionPass& pass) { tracker_.apply(record, pass); });
+  call("a", 2 * kSecond, 2 * kSecond, Outcome::served);
+  EXPECT_TRUE(at("a").health.is_slow_start());
+}
+
 // Guards against a relay that forgets in a restart that a whole scope was out.
 TEST_F(EndpointTrackerTest, RestoresTheOutageOfAScopeWhereAllItsEndpointsWereOut) {
   event::LearnedStateRestored record;
--- a/tests/recovery/recovery_test.cpp
+++ b/tests/recovery/recovery_test.cpp
@@ -46,5 +46,24 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleets, Return, ::testing::Values(1, 3, 30, 300, 900));
 
+// Guards against new endpoints of a destination that is out or cold being taken for sound ones.
+class Replacement : public ::testing::TestWithParam<int> {};
+
+TEST_P(Replacement, AroundTheReturnOfADestinationIsNoCollapse) {
+  for (const int endpoints : {1, 2, 4}) {
+    for (const int replaced : {1, endpoints}) {
+      for (const double moment : {-5.0, -1.0, 0.3, 1.5, 4.0}) {
+        Scenario scenario{.relays = GetParam(), .endpoints = endpoints, .outage_s = 12, .replaced = replaced};
+        scenario.replaced_at_s = moment;
+        scenario.slots = GetParam() <= 3 ? 12 : 6;
+        expect_no_collapse(scenario, std::to_string(replaced) + " of " + std::to_string(endpoints) + " at " +
+                                         std::to_string(moment));
+      }
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, Replacement, ::testing::Values(1, 3, 30, 300, 900));
+
 }  // namespace
 }  // namespace heronvane::recovery
