A watch that falls silent within an answer is opened again in time

Cause: an incomplete line replaced the limit for silence (3 to 3.35 s) by that for a whole list, 6 s; its end was reported as a failure, behind which the module paused for up to 5 s, since the failures of the outage still counted.

Evidence: with equal pauses before, a header that breaks off was followed by the next watch 7.2 to 7.3 s later, a line that breaks off 10.0 s later (CutAnswerTest on the build before): both causes show apart.

The longest pause is 2.5 s (it was 5 s), so that a silent watch behind it ends within the 6 s after which a change binds: the expectation of ListPollingTest is stricter by that.

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -2,9 +2,11 @@
 
 #include <rapidjson/document.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -42,6 +44,8 @@
 
 }  // namespace
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
 struct Platform::Query {
   Query(net::io_context& io, bool is_watch, std::size_t max_list_bytes)
       : follow(is_watch), socket(io), timer(io), read_retry_timer(io), buffer(max_list_bytes) {
@@ -57,15 +61,17 @@
   beast::flat_buffer buffer;
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
-  std::string list_text;             // of a fetch, received so far
-  ObjectSplitter objects;            // of a watch
-  std::size_t heartbeats_seen = 0;   // line ends counted as heartbeats
-  bool in_object = false;            // the list timer runs for an incomplete object
-  bool had_data = false;             // a watch received an object or a heartbeat
-  bool final_read_pending = false;   // kFinalReadDelay runs after a heartbeat timeout
-  std::optional<ListReader> reader;  // of the list being parsed
-  std::optional<EndpointList> list;  // being passed on
-  std::size_t delivered = 0;         // entries of `list` passed on
+  std::string list_text;               // of a fetch, received so far
+  ObjectSplitter objects;              // of a watch
+  std::size_t heartbeats_seen = 0;     // line ends counted as heartbeats
+  std::optional<SteadyTime> list_due;  // when the list or object that is being received must be complete
+  bool final_read_pending = false;     // kFinalReadDelay runs after a heartbeat timeout
+  std::optional<ListReader> reader;    // of the list being parsed
+  std::optional<EndpointList> list;    // being passed on
+  std::size_t delivered = 0;           // entries of `list` passed on
+
+  // Whether bytes of an answer arrived; the parser reports a header only when it is complete.
+  bool has_begun_answer() const { return parser.is_header_done() || buffer.size() > 0; }
 
   // Ends it: none of its handlers has any further effect.
   void close() {
@@ -153,7 +159,8 @@
   error_code ignored;
   query->socket.set_option(tcp::no_delay(true), ignored);
   query->socket.non_blocking(true, ignored);
-  query->follow ? reset_watch_timer(query) : start_list_timer(query);
+  if (!query->follow) query->list_due = std::chrono::steady_clock::now() + kListTimeout;
+  restart_silence_timer(query);
   query->request.method(http::verb::get);
   query->request.version(11);
   query->request.target(query->follow ? "/catalog/members?follow=1&since=" + std::to_string(index_)
@@ -166,37 +173,40 @@
   });
 }
 
-// Restarts the heartbeat timeout of a watch.
-void Platform::reset_watch_timer(const std::shared_ptr<Query>& query) {
+// Restarts the heartbeat timeout. A list ends by its own timeout even while bytes keep arriving, and a fetch
+// may wait for its first byte until then.
+void Platform::restart_silence_timer(const std::shared_ptr<Query>& query) {
+  const SteadyTime now = std::chrono::steady_clock::now();
+  if (query->final_read_pending && query->list_due && now >= *query->list_due) return;
   query->final_read_pending = false;
   std::uniform_int_distribution<int> spread(0, static_cast<int>(kTimeoutJitter.count()));
-  query->timer.set(kHeartbeatTimeout + std::chrono::milliseconds(spread(random_)),
-                   [this, query] { handle_silence(query); });
-}
-
-void Platform::start_list_timer(const std::shared_ptr<Query>& query) {
-  query->timer.set(kListTimeout, [this, query] { end_query(query, "list incomplete at its timeout"); });
+  SteadyTime due = now + kHeartbeatTimeout + std::chrono::milliseconds(spread(random_));
+  if (!query->follow && !query->has_begun_answer()) due = *query->list_due;
+  if (query->list_due) due = std::min(due, *query->list_due);
+  query->timer.set(due - now, [this, query] { handle_silence(query); });
 }
 
-// Reopens a silent watch at once. Reported as a failure, it would wait for the module's backoff, and changes
-// could be missed for too long.
+// Reopens a watch at once that falls silent in the middle of its answer. Reported as a failure, it would wait
+// for the module's backoff, and changes could be missed for too long.
 void Platform::handle_silence(const std::shared_ptr<Query>& query) {
   // Not silent: the relay is still parsing or passing on a list.
-  if (query->reader || query->list) return reset_watch_timer(query);
+  if (query->reader || query->list) return restart_silence_timer(query);
   // Data may have arrived that is not read yet, for instance after this process was suspended.
   if (!std::exchange(query->final_read_pending, true))
     return query->timer.set(kFinalReadDelay, [this, query] { handle_silence(query); });
-  if (query->had_data && watch_ == query) {
-    log("discovery: watch: silent for too long, reopened");
+  const bool is_list_late = query->list_due && std::chrono::steady_clock::now() >= *query->list_due;
+  const std::string reason = is_list_late ? "list incomplete at its timeout" : "silent for too long";
+  if (query->has_begun_answer() && watch_ == query) {
+    log("discovery: watch: " + reason + ", reopened");
     if (full_list_due_) index_ = 0;  // ask for the full list again
     return start_query(true);
   }
-  end_query(query, "silent for too long");
+  end_query(query, reason);
 }
 
 void Platform::read(const std::shared_ptr<Query>& query) {
   http::async_read_some(
-      query->socket, query->buffer, query->parser, [this, query](error_code error, std::size_t) {
+      query->socket, query->buffer, query->parser, [this, query](error_code error, std::size_t bytes) {
         if (query->ended) return;
         if (is_memory_shortage(error))
           return retry_read(query->socket, query->read_retry_timer,
@@ -212,6 +222,7 @@
             return end_query(query, "list exceeds the size limit");
           if (query->follow) return read_watch_objects(query);
         }
+        if (!query->follow && bytes > 0) restart_silence_timer(query);
         if (!query->parser.is_done()) return read(query);
         if (query->follow) return end_query(query, "ended");
         query->timer.cancel();
@@ -239,8 +250,8 @@
       if (!query->reader && !query->list) {
         auto object = query->objects.next();
         if (!object) break;
-        query->had_data = true, query->in_object = false;
-        reset_watch_timer(query);
+        query->list_due.reset();
+        restart_silence_timer(query);
         query->reader.emplace(std::move(*object), names_);
       }
       if (!read_slice(*query)) return net::post(io_, [this, query] { read_watch_objects(query); });
@@ -251,12 +262,12 @@
   }
   if (query->ended) return;
   if (query->objects.inside()) {
-    // An incomplete object does not count as a heartbeat; it has kListTimeout to end.
-    if (!std::exchange(query->in_object, true)) start_list_timer(query);
+    // Bytes of an incomplete object count as heartbeats, but it has kListTimeout to end.
+    if (!query->list_due) query->list_due = std::chrono::steady_clock::now() + kListTimeout;
+    restart_silence_timer(query);
   } else if (const auto line_ends = query->objects.line_ends();
              line_ends != std::exchange(query->heartbeats_seen, line_ends)) {
-    query->had_data = true;
-    reset_watch_timer(query);
+    restart_silence_timer(query);
   }
   query->parser.is_done() ? end_query(query, "ended") : read(query);
 }
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -58,8 +58,7 @@
   bool deliver_part(Query& query);
   void end_query(const std::shared_ptr<Query>& query, const std::string& reason);
   void finish_refresh();
-  void reset_watch_timer(const std::shared_ptr<Query>& query);
-  void start_list_timer(const std::shared_ptr<Query>& query);
+  void restart_silence_timer(const std::shared_ptr<Query>& query);
   void handle_silence(const std::shared_ptr<Query>& query);
 
   boost::asio::io_context& io_;
--- a/src/list_polling.hpp
+++ b/src/list_polling.hpp
@@ -23,7 +23,9 @@
 
  private:
   static constexpr double kFirstGapSeconds = 0.5;
-  static constexpr double kMostGapSeconds = 4;
+  // A poll behind the longest jittered gap (2.5 s) and a further one, after the first fell silent (3.4 s),
+  // lie within the 6 s from which on a change binds.
+  static constexpr double kMostGapSeconds = 2;
 
   Microseconds next_at_ = kNever;
   double gap_s_ = kFirstGapSeconds;
