--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -14,13 +14,12 @@
 };
 
 // By HealthChange, in its order.
-constexpr std::array<Transition, 9> kTransitions{{
+constexpr std::array<Transition, 8> kTransitions{{
     {Health::ejected, "closed", "no connection"},
     {Health::ejected, "closed", "errors"},
     {Health::ejected, "closed", "silent"},
     {Health::ejected, "closed", "refuses all"},
     {Health::slow_start, "ramp", ""},
-    {Health::healthy, "slow", ""},
     {Health::slow_start, "forgotten", ""},
     {Health::healthy, "warm", ""},
     {Health::slow_start, "ramp", "its destination returned"},
--- a/src/endpoint_health.hpp
+++ b/src/endpoint_health.hpp
@@ -15,7 +15,6 @@
   ejected_unanswered,
   ejected_rejections,
   served_after_ejection,  // ejected -> slow_start
-  answered_late,          // ejected -> healthy: overdue calls were answered after all
   outage_expired,         // ejected -> slow_start: what is known of the outage is too old
   warmed_up,              // slow_start -> healthy
   scope_served_again,     // healthy -> slow_start: its rate-limit scope returned from an outage
--- a/src/endpoint_tracker.cpp
+++ b/src/endpoint_tracker.cpp
@@ -9,9 +9,6 @@
 namespace heronvane::dispatch {
 namespace {
 
-constexpr int kLeastConcerned = 2;           // endpoints in an outage, from which on it counts as that of all
-constexpr double kLeastBaselineOfFleet = 3;  // calls a second of all relays
-
 HealthChange ejection_by(Outcome outcome) {
   if (outcome == Outcome::connect_failed) return HealthChange::ejected_connect_failed;
   if (outcome == Outcome::error) return HealthChange::ejected_errors;
@@ -76,15 +73,6 @@
   divide_baseline_rate(endpoint, pass.now);
 }
 
-void EndpointTracker::join_scope_outage(EndpointState& endpoint, DecisionPass& pass) {
-  const ScopeOutage& outage = endpoint.scope().outage;
-  endpoint.health.join(outage.health(), outage.since());
-  if (outage.is_ejected()) endpoint.evidence.copy_from(outage.evidence());
-  endpoint.slow_start.begin(pass.now, 0, pass.random.uniform());
-  endpoint.slow_start.schedule_health_check(pass.now);
-  checkpoint_by(endpoint, pass.now);
-}
-
 void EndpointTracker::apply(const event::GossipReceived& gossip, const DecisionPass& pass) {
   const std::optional<EndpointId> rejecting = RejectionGossip::parse(gossip.body);
   EndpointState* const endpoint = rejecting ? registry_.find(*rejecting) : nullptr;
@@ -137,22 +125,6 @@
   endpoint.slow_start.schedule_health_check(pass.now + draw_health_check_gap(endpoint, pass));
 }
 
-// Records tell of endpoints alone: where one is healthy, the others were out on their own.
-void EndpointTracker::restore_scope_outage(EndpointState& endpoint, Microseconds now) {
-  const std::vector<EndpointState*> active = active_in_scope_of(endpoint);
-  Health health = Health::slow_start;
-  Microseconds since = -kNever;
-  double baseline_rate = 0;
-  for (const EndpointState* const sibling : active) {
-    if (sibling->health.is_healthy()) return;
-    if (sibling->health.is_ejected()) health = Health::ejected;
-    since = std::max(since, sibling->health.since());
-    baseline_rate += sibling->slow_start.baseline_rate();
-  }
-  if (active.empty()) return;
-  outage_of(endpoint, now).restore(health, since, baseline_rate);
-}
-
 bool EndpointTracker::record_attempt(EndpointState& endpoint, const event::AttemptEnded& ended,
                                      const EndedAttempt& result, DecisionPass& pass) {
   if (ended.retry_after > 0) {
@@ -199,12 +171,11 @@
   endpoint.served.record(pass.now);
   const Microseconds overdue_after = endpoint.latency.overdue_after();  // this answer may be late itself
   endpoint.latency.record_served(latency, slowness_);
-  const bool was_only_slow = endpoint.evidence.record_served(background_failures_);
+  endpoint.evidence.record_served(background_failures_);
   endpoint.ejected_at = kNever;
   const bool was_ejected = endpoint.health.is_ejected();
   if (was_ejected) {
-    const auto change = was_only_slow ? HealthChange::answered_late : HealthChange::served_after_ejection;
-    endpoint.health.apply(pass, change, endpoint.info.id);
+    endpoint.health.apply(pass, HealthChange::served_after_ejection, endpoint.info.id);
     checkpoint_by(endpoint, pass.now);
   }
   record_scope_served(endpoint, was_ejected, overdue_after, pass);
@@ -275,8 +246,7 @@
 
 void EndpointTracker::eject(EndpointState& endpoint, HealthChange reason, DecisionPass& pass) {
   if (endpoint.health.is_healthy()) {
-    const double baseline =
-        std::max(endpoint.demand.per_second(pass.now), kLeastBaselineOfFleet / settings_.relays);
+    const double baseline = std::max(endpoint.demand.per_second(pass.now), least_baseline_rate());
     endpoint.slow_start.begin(pass.now, baseline, pass.random.uniform());
   } else {
     settle_budget(endpoint, pass.now);
@@ -288,104 +258,9 @@
   update_health_check_slots(endpoint);
 }
 
-ScopeOutage& EndpointTracker::outage_of(EndpointState& endpoint, Microseconds now) const {
-  ScopeOutage& outage = endpoint.scope().outage;
-  outage.advance(now, slow_start_.window());
-  return outage;
-}
-
-std::vector<EndpointState*> EndpointTracker::in_scope_of(EndpointState& endpoint) {
-  if (endpoint.has_own_limits) return {&endpoint};
-  std::vector<EndpointState*> found = registry_.at(endpoint.info.destination).endpoints;
-  std::erase_if(found, [](const EndpointState* sibling) { return sibling->has_own_limits; });
-  return found;
-}
-
-std::vector<EndpointState*> EndpointTracker::active_in_scope_of(EndpointState& endpoint) {
-  std::vector<EndpointState*> found = in_scope_of(endpoint);
-  std::erase_if(found, [](const EndpointState* sibling) { return sibling->info.listing != Listing::active; });
-  return found;
-}
-
-// It says nothing where another endpoint served meanwhile, or has served since this one was ejected: then the
-// outage is that of this endpoint alone.
-bool EndpointTracker::concerns_scope(const EndpointState& endpoint, const ScopeOutage& outage,
-                                     Microseconds sent_at) {
-  return outage.served_at() <= std::min(sent_at, endpoint.ejected_at);
-}
-
-bool EndpointTracker::is_scope_outlier(EndpointState& endpoint, const ScopeOutage& outage, Microseconds now) {
-  if (outage.evidence().consecutive_failures() == 0) return false;
-  int overdue = 0;
-  for (const EndpointState* const sibling : in_scope_of(endpoint))
-    overdue += sibling->calls.overdue(now, sibling->latency.overdue_after(), outage.served_at());
-  return outage.is_outlier(now, overdue, background_failures_);
-}
-
-// Whether the endpoint has a failed or overdue call since the scope last served, and was not out before.
-bool EndpointTracker::is_in_outage(const EndpointState& endpoint, const ScopeOutage& outage,
-                                   Microseconds now) {
-  const Microseconds since = outage.served_at();
-  if (endpoint.ejected_at < since) return false;
-  return endpoint.failed_at > since ||
-         endpoint.calls.overdue(now, endpoint.latency.overdue_after(), since) > 0;
-}
-
-// Where only one endpoint is concerned, the others stay: they may still serve.
-void EndpointTracker::eject_scope(EndpointState& endpoint, HealthChange reason, DecisionPass& pass) {
-  ScopeOutage& outage = outage_of(endpoint, pass.now);
-  outage.eject(pass.now, scope_baseline_rate(outage, pass.now));
-  const std::vector<EndpointState*> all = in_scope_of(endpoint);
-  const auto concerned = std::count_if(all.begin(), all.end(), [&](const EndpointState* sibling) {
-    return is_in_outage(*sibling, outage, pass.now);
-  });
-  for (EndpointState* const sibling : active_in_scope_of(endpoint)) {
-    if (sibling->health.is_ejected()) continue;
-    if (concerned < kLeastConcerned && !is_in_outage(*sibling, outage, pass.now)) continue;
-    sibling->evidence.mark_failing();
-    settle_budget(*sibling, pass.now);
-    eject(*sibling, reason, pass);
-  }
-  divide_baseline_rate(endpoint, pass.now);
-}
-
-// A scope that an endpoint without any failure serves soon after the others failed was not out: the outage is
-// theirs alone.
-void EndpointTracker::record_scope_served(EndpointState& endpoint, bool was_ejected,
-                                          Microseconds overdue_after, DecisionPass& pass) {
-  ScopeOutage& outage = outage_of(endpoint, pass.now);
-  const bool was_long = outage.unanswered_for(pass.now) > overdue_after;
-  const bool was_out = outage.is_ejected() || is_scope_outlier(endpoint, outage, pass.now);
-  if (was_out && (was_ejected || was_long)) start_scope_slowly(endpoint, pass);
-  outage.record_served(pass.now);
-}
-
-void EndpointTracker::start_scope_slowly(EndpointState& endpoint, DecisionPass& pass) {
-  ScopeOutage& outage = outage_of(endpoint, pass.now);
-  outage.begin_slow_start(pass.now, scope_baseline_rate(outage, pass.now));
-  for (EndpointState* const sibling : active_in_scope_of(endpoint)) {
-    if (!sibling->health.is_healthy()) continue;
-    sibling->slow_start.begin(pass.now, 0, pass.random.uniform());
-    sibling->health.apply(pass, HealthChange::scope_served_again, sibling->info.id);
-    update_health_check_slots(*sibling);
-    checkpoint_by(*sibling, pass.now);
-  }
-  divide_baseline_rate(endpoint, pass.now);
-}
-
-void EndpointTracker::divide_baseline_rate(EndpointState& endpoint, Microseconds now) {
-  const ScopeOutage& outage = outage_of(endpoint, now);
-  if (outage.health() == Health::healthy) return;
-  const std::vector<EndpointState*> active = active_in_scope_of(endpoint);
-  for (EndpointState* const sibling : active) {
-    if (sibling->health.is_healthy()) continue;
-    settle_budget(*sibling, now);
-    sibling->slow_start.set_baseline_rate(outage.baseline_rate() / static_cast<double>(active.size()));
-  }
-}
-
-double EndpointTracker::scope_baseline_rate(const ScopeOutage& outage, Microseconds now) const {
-  return std::max(outage.demand_per_s(now), kLeastBaselineOfFleet / settings_.relays);
+double EndpointTracker::least_baseline_rate() const {
+  constexpr double kLeastOfFleet = 3;  // calls a second of all relays
+  return kLeastOfFleet / settings_.relays;
 }
 
 void EndpointTracker::advance_health(EndpointState& endpoint, DecisionPass& pass) {
--- a/src/endpoint_tracker.hpp
+++ b/src/endpoint_tracker.hpp
@@ -114,6 +114,7 @@
   void divide_baseline_rate(EndpointState& endpoint, Microseconds now);
   // Calls a second of this relay to the whole scope, as an outage that begins now remembers them.
   double scope_baseline_rate(const ScopeOutage& outage, Microseconds now) const;
+  double least_baseline_rate() const;  // whatever the demand was
   void restore_health(EndpointState& endpoint, const LearnedState& state, Microseconds written,
                       DecisionPass& pass);
   // To be called after restore_health().
--- a/src/outlier_detection.cpp
+++ b/src/outlier_detection.cpp
@@ -31,11 +31,9 @@
   value_ *= 1 - kNewestCallWeight;
 }
 
-bool FailureEvidence::record_served(BackgroundFailureRate& background) {
+void FailureEvidence::record_served(BackgroundFailureRate& background) {
   background.record_served(isolated_failures_);
-  const int run = consecutive_failures_;
   end_run();
-  return run == 0 && failure_rate_ < kEjectingFailureRate / 2;
 }
 
 void FailureEvidence::end_run() {
--- a/src/outlier_detection.hpp
+++ b/src/outlier_detection.hpp
@@ -37,8 +37,7 @@
   double failure_rate() const { return failure_rate_; }  // of recent calls, in [0, 1]
   bool last_failure_possibly_executed() const { return last_failure_possibly_executed_; }
 
-  // Returns whether overdue calls were the only evidence against the endpoint: it was slow, not unavailable.
-  bool record_served(BackgroundFailureRate& background);
+  void record_served(BackgroundFailureRate& background);
   void record_failed(Outcome outcome);
   // Another call was served: the failures before it do not form a run with later ones.
   void end_run();
